--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -27,9 +27,10 @@
 
 	// flushFor is how long slow clients may take their answers in, and notices be delivered. The
 	// platform kills 3.7 s after SIGTERM at the earliest.
-	flushFor     = 3500 * time.Millisecond
-	probeTimeout = 250 * time.Millisecond
-	procs        = 4 // so that a poller asleep in the kernel does not hold up the loop
+	flushFor      = 3500 * time.Millisecond
+	probeTimeout  = 250 * time.Millisecond
+	countersEvery = 5 * time.Second // between lines of counters in the log
+	procs         = 4               // so that a poller asleep in the kernel does not hold up the loop
 )
 
 func main() {
@@ -123,7 +124,7 @@
 			})
 		}
 	}()
-	swept, looked := time.Duration(0), time.Duration(0)
+	swept, looked, told := time.Duration(0), time.Duration(0), lp.Now()
 	lp.Run(func(now time.Duration) {
 		core.SetNow(now)
 		pool.SetNow(now)
@@ -137,6 +138,10 @@
 			swept = now
 			hooks.sweep(now)
 		}
+		if now-told >= countersEvery {
+			told = now
+			printCounters(&core.Count, names, hooks)
+		}
 		if stopping > 0 {
 			since := now - stopping
 			core.Draining = since >= lingerFor
@@ -194,6 +199,8 @@
 			name, n.Taken[f], n.Served[f], n.Refused[f], n.Failed[f], n.Left[f], n.Turned[f])
 	}
 	log.Printf("event=counters sent=%d%s overdue=%d", n.Sent, byOutcome(n.Ended), n.Overdue)
+	log.Printf("event=counters out_of_time=%d no_worker=%d too_late=%d overloaded=%d", n.GivenUp[policy.OutOfTime],
+		n.GivenUp[policy.NoWorker], n.GivenUp[policy.TooLate], n.GivenUp[policy.Overloaded])
 	log.Printf("event=counters orders=%d%s unloads=%d", n.Orders, byOutcome(n.OrderEnded), n.Unloads)
 	log.Printf("event=counters probes=%d%s", n.Probes, byOutcome(n.ProbeEnded))
 	h.print()
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -72,6 +72,13 @@
 	workers map[policy.WorkerID]*worker
 	calls   map[router.Attempt]*call
 	pings   uint64
+	lost    losses
+}
+
+// losses are the connections that ended under calls since the log last told, and the calls on them.
+type losses struct {
+	conns, calls int
+	told         time.Duration
 }
 
 type worker struct {
@@ -486,7 +493,17 @@
 }
 
 // Closed is the end of the connection: what was written may have run.
-func (c *conn) Closed(error) { c.lost(policy.Reset) }
+func (c *conn) Closed(err error) {
+	if l := &c.pool.lost; len(c.open) > 0 {
+		l.conns++
+		l.calls += len(c.open)
+		if c.pool.now-l.told > time.Second { // not once for each: a worker that dies ends many
+			log.Printf("event=workers_lost conns=%d calls=%d last=%s err=%q", l.conns, l.calls, c.w.addr, fmt.Sprint(err))
+			*l = losses{told: c.pool.now}
+		}
+	}
+	c.lost(policy.Reset)
+}
 
 // lost ends all that is open on c. Calls are written as soon as the dial is through, so those of a
 // dial that failed never left, and those of a connection that ended did.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -163,6 +163,7 @@
 	Ended                                        [policy.Missed + 1]uint64 // attempts, by outcome
 	OrderEnded, ProbeEnded                       [policy.Missed + 1]uint64 // by outcome
 	Overdue                                      uint64                    // answered by the guard, not by the module
+	GivenUp                                      [policy.Causes]uint64     // by the module, by cause
 }
 
 type entry struct {
@@ -334,10 +335,12 @@
 		c.cancel(Attempt{a.Request, a.Attempt}, policy.Cancelled)
 	case policy.Refuse:
 		if e := c.reqs[a.Request]; e != nil && !e.done {
+			c.Count.GivenUp[a.Cause]++
 			c.final(a.Request, e, Answer{Verdict: Refused, RetryAfter: a.RetryAfter})
 		}
 	case policy.Fail:
 		if e := c.reqs[a.Request]; e != nil && !e.done {
+			c.Count.GivenUp[a.Cause]++
 			c.final(a.Request, e, Answer{Verdict: Failed})
 		}
 	case policy.OrderLoad:
--- a/policy/api.go
+++ b/policy/api.go
@@ -257,14 +257,30 @@
 	Attempt int
 }
 
+// Cause is why the module gave a request up.
+type Cause uint8
+
+// The causes.
+const (
+	OutOfTime  Cause = iota // its time ran out
+	NoWorker                // none may take it, or none soon enough
+	TooLate                 // none would serve it in time
+	Overloaded              // it gave way to others
+	Causes                  // how many there are
+)
+
 // Refuse is the final answer that trying again is harmless.
 type Refuse struct {
 	Request    RequestID
 	RetryAfter time.Duration // how long to stay away; 0: no advice
+	Cause      Cause
 }
 
 // Fail is the final answer that promises nothing.
-type Fail struct{ Request RequestID }
+type Fail struct {
+	Request RequestID
+	Cause   Cause
+}
 
 // OrderLoad asks a worker to hold Count instances of a function; with Count 0 it only asks.
 type OrderLoad struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,4 @@
 // The interface of this module (Config, events, actions, ids, outcomes) is in api.go.
-// docs/design.md tells what the mechanism is and when each exception to it acts.
 
 package policy
 
@@ -216,7 +215,7 @@
 		} else if e.Token == askToken {
 			p.emit(Subscribe{On: true})
 		} else if r := p.reqs[RequestID(e.Token-doneToken)]; r != nil && e.Token >= doneToken && !r.stream {
-			p.finish(r, 0)
+			p.finish(r, 0, OutOfTime)
 		}
 	}
 	out, p.out = p.out, nil
@@ -238,7 +237,7 @@
 		}
 		if c := &p.classes[r.Class]; (r.ran != nil || r.outstand > 0) &&
 			(c.Repeat == Unsafe || c.Repeat == Keyed && c.Group != GroupAll) {
-			p.out = append(p.out, Fail{Request: r.Request}) // promises nothing
+			p.out = append(p.out, Fail{Request: r.Request, Cause: a.Cause}) // promises nothing
 			return true
 		}
 	case OrderLoad:
@@ -547,12 +546,11 @@
 		if float64(r.deadline-until) > p.run(r) && p.mayYet(r) {
 			p.held = append(p.held, r)
 		} else {
-			p.finish(r, float64(until-p.now))
+			p.finish(r, float64(until-p.now), NoWorker)
 		}
 		return
 	}
-	best := math.Inf(1)
-	scores := make([]float64, len(cands))
+	best, scores := math.Inf(1), make([]float64, len(cands))
 	for i, w := range cands {
 		scores[i] = p.predict(w, r)
 		if w == at {
@@ -574,10 +572,13 @@
 		sure -= p.loadLeft(w, r)
 	}
 	shed, wait := p.shed(r, w, sure)
-	if sure > float64(r.deadline-p.now) || r.over && best > float64(p.classes[r.Class].Aim) ||
-		len(r.attempts) == 0 && shed {
+	cause := Overloaded
+	if sure > float64(r.deadline-p.now) || r.over && best > float64(p.classes[r.Class].Aim) {
+		cause = TooLate
+	}
+	if cause == TooLate || len(r.attempts) == 0 && shed {
 		if p.now-p.lastTrial < slowBeat || r.over {
-			p.finish(r, wait)
+			p.finish(r, wait, cause)
 			return
 		}
 		p.lastTrial = p.now // a bounded trial, so that a wrong estimate can be corrected
@@ -714,7 +715,7 @@
 	case r.done || r.outstand > 0:
 	case e.Outcome == Missed && p.order(r, w, i):
 	case e.Outcome == Moot || e.Outcome == TimedOut && p.now >= r.deadline-2*p.cfg.Tick:
-		p.finish(r, 0)
+		p.finish(r, 0, OutOfTime)
 	default:
 		p.place(r)
 	}
@@ -946,8 +947,8 @@
 
 // finish gives the final answer: a refusal where that is true, else a failure. The client is told to come
 // back after what is in the way now, spread by chance: else all that were refused come back at once.
-func (p *Policy) finish(r *request, wait float64) {
-	a := Refuse{Request: r.Request}
+func (p *Policy) finish(r *request, wait float64, cause Cause) {
+	a := Refuse{Request: r.Request, Cause: cause}
 	if most := float64(p.cfg.MaxRetryAfter); p.cfg.RetryAfter && most > 0 {
 		a.RetryAfter = time.Duration(sane(wait, float64(beat), most) * (1 - p.rng.Float64()/2))
 	}
