Count a broken connection once and set no worker aside for it

Symptom: from second 5 on most requests are refused, and those sent wait in the queues of one or two workers until their time is over (cancelled=537 of 944 sent in the five seconds to 10.37).

Evidence, n0: "event=workers_lost conns=1 calls=8 ... err=connection reset by peer", then one to three such connections a second with up to 30 calls on each.

At fault: policy.ended, case Reset. The count of one sign for a connection hung on a probe being out. Here none may be sent, so each call on the connection counted as a failure of its worker, which puts the rest of a call's time on the worker's score for some seconds, and strike set the worker aside for 1 s and more. Now the calls that end in one moment count once, and a worker is set aside only when a dial to it is refused, which a dead process does and one that is well does not.

Excluded: resets made here (no worker_closed line, the error is the peer's) and workers that died (dials right after come up; two or three dial_failed lines a play).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -101,6 +101,7 @@
 	fails         []drift       // by class, whether calls go unserved there
 	delay         drift         // the fit's constant: what others queue there beyond the average
 	heard, probed time.Duration // last sign of life, last probe
+	broke         time.Duration // when a connection last ended under calls
 	probing       bool
 	strikes       int
 	orders        int           // of ours that are out
@@ -698,12 +699,11 @@
 			p.reported(w, e.Report)
 			w.delay.see(p.now, max(clip*p.run(r), w.delay.now(p.now)))
 		}
-	case Reset: // its process died, or only this answer was lost: a probe tells
-		if !w.probing { // one sign, however many calls were on the connection
+	case Reset: // its process died, or a connection broke alone: a probe tells, else the next dial
+		if !w.probing && w.broke != p.now { // one sign, however many calls were on the connection
+			w.broke = p.now
 			w.fails[r.Class].see(p.now, 1)
-			if !p.probe(w) {
-				p.strike(w)
-			}
+			p.probe(w)
 		}
 	case Unreachable:
 		p.strike(w)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -181,6 +181,38 @@
 	}
 }
 
+// Guards a worker that is well where no probe may tell so: a connection that breaks under many calls counts
+// once and does not set the worker aside. A dial that is refused does.
+func TestBrokenConnectionCountsOnceWithoutProbes(t *testing.T) {
+	cfg := config()
+	cfg.MayProbe = false
+	b := newBed(t, cfg, 3)
+	at := b.serve(7, 80*ms, WasWarm)
+	var ids []RequestID
+	for range 4 {
+		id, acts := b.arrive(2, 7)
+		if s, _ := first[Send](acts); s.Worker != at {
+			t.Fatalf("warm at %d, sent to %d", at, s.Worker)
+		}
+		ids = append(ids, id)
+	}
+	b.now += 10 * ms
+	w := b.p.workers[at]
+	before := w.fails[2].n
+	for _, id := range ids[1:] {
+		b.do(AttemptEnded{Request: id, Worker: at, Outcome: Reset, Took: 10 * ms})
+	}
+	if n := w.fails[2].n; n > before+1 {
+		t.Errorf("one broken connection counts as %.1f failures", n-before)
+	}
+	if b.p.looksBad(w) {
+		t.Error("a worker is set aside for a connection that broke")
+	}
+	if b.do(AttemptEnded{Request: ids[0], Worker: at, Outcome: Unreachable}); !b.p.looksBad(w) {
+		t.Error("a worker that refuses connections is still used")
+	}
+}
+
 // Guards a worker that is well against an order to load whose connection broke: a probe tells, and until
 // then neither is the worker set aside nor do the calls that wait for the load go elsewhere.
 func TestBrokenConnectionOfAnOrderSetsNoWorkerAside(t *testing.T) {
