Measure the standing delay without the call's own run

At fault: policy.learn handed sawDelay the whole time of a warm answer. Warm answers take about 50 ms with no queue at all, so calls gave way at all times. What goes in now is the time beyond the run estimate, as worker.delay takes it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -733,7 +733,7 @@
 		loaded = took > base+queue+p.loadTime(f)/2
 	}
 	if !a.cold && e.Note <= WasWarm { // a guessed load may be a queue
-		p.sawDelay(float64(e.Took), c.Aim)
+		p.sawDelay(took-base, c.Aim)
 	}
 	i.warmUntil, i.loading, i.lanes = p.now+p.cfg.KeepAlive, 0, max(i.lanes, i.inFlight+1)
 	p.tell(i, f)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1045,6 +1045,17 @@
 	b.serve(502, time.Second, BeganLoad)
 }
 
+// Work that takes a good part of its wanted time is not a queue: on idle workers nothing gives way to it.
+func TestLongRunsAreNoStandingDelay(t *testing.T) {
+	b := newBed(t, config(), 4)
+	for range 200 {
+		b.serve(7, 280*ms, WasWarm) // of 400 ms wanted
+	}
+	if d := time.Duration(b.p.standing); d > 20*ms {
+		t.Errorf("a standing delay of %v is seen where nothing queues", d)
+	}
+}
+
 // In overload least worth gives way first, and all is let in again once the delay is gone.
 func TestShedsLeastWorthAndRecovers(t *testing.T) {
 	b := newBed(t, config(), 4)
