Count on no copy further down while one loads at a function's first home

All workers report 8 to 10 loads at once.

At fault: policy.homeOf. It returns the first home that we think cold. While our own load runs at the first, that is the second in rank, then the third, and for each an even chance was counted that a copy stands there all the same, which took half a load off its score: a fresh load looked quicker than the one under way. A copy further down is there only where the first is full, not while we load at it, so the chance is none then.

Excluded: the network (one attempt each, in the order of arrival, to the worker named), and answers given to the wrong worker (the keys and times of the log agree with the reports' count of loads).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -101,11 +101,10 @@
 	fails         []drift       // by class, whether calls go unserved there
 	delay         drift         // the fit's constant: what others queue there beyond the average
 	heard, probed time.Duration // last sign of life, last probe
-	broke         time.Duration // when a connection last ended under calls
 	probing       bool
 	strikes       int
 	orders        int           // of ours that are out
-	aside         time.Duration // set aside until then
+	aside, broke  time.Duration // set aside until then; when a connection last ended under calls
 	sends         []*attempt    // within FallFor, while cold
 	copies        map[FunctionID]*instance
 }
@@ -345,8 +344,7 @@
 				i.warmUntil, i.loading, i.lanes = 0, 0, 0
 			}
 			w.cold, w.luck, w.strikes, w.aside = e.Started, p.rng.Float64(), 0, 0
-			w.slope, w.delay = fit{}, drift{}
-			clear(w.fails)
+			w.slope, w.delay, w.fails = fit{}, drift{}, make([]drift, len(p.classes))
 		}
 		w.WorkerEntry = e
 	}
@@ -497,6 +495,8 @@
 	if at != nil && at == first {
 		others := f.calls * float64(p.cfg.Peers-1) / float64(homes)
 		chance = max(chance, 1-math.Exp(-others*float64(p.cfg.KeepAlive)/float64(rateSpan)))
+	} else if first != nil && p.loadLeft(first, r) > 0 { // it loads at the first: none stands further down
+		chance = 0
 	}
 	return at, chance
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -452,6 +452,29 @@
 	}
 }
 
+// Guards against a load at worker after worker: calls that come while the first home loads wait there.
+func TestCallsWaitForTheLoadAtTheFirstHome(t *testing.T) {
+	for peers := 1; peers <= 4; peers++ {
+		cfg := config()
+		cfg.Peers = peers
+		b := newBed(t, cfg, 6)
+		b.p.rate = 6 * float64(rateSpan) // all are at work, so one function deserves one home
+		at := map[WorkerID]int{}
+		for range 4 { // as many as a copy serves at a time
+			_, acts := b.arrive(0, 7)
+			s, ok := first[Send](acts)
+			if !ok {
+				t.Fatalf("%d dispatchers: not sent: %v", peers, acts)
+			}
+			at[s.Worker]++
+			b.now += 20 * ms
+		}
+		if len(at) != 1 {
+			t.Errorf("%d dispatchers: calls of one function began loads at %d workers", peers, len(at))
+		}
+	}
+}
+
 // A hot function needs many workers, and no dispatcher sees more than a call of it now and then.
 func TestHotFunctionSpreadsAndRareOneStays(t *testing.T) {
 	cfg := config()
