Count a call that a worker leaves unanswered to its end against it

At fault: policy.ended. Errors and broken connections count as calls of a class that go unserved at a worker, but an attempt that ends because its time is up counted for nothing, so the score went on to call such a worker the fastest. It counts now where a copy was believed to stand there and the wait was over three times what was predicted. A client that leaves early proves nothing and does not count.

Excluded: a silent connection (other classes are answered on the same ones, and pings are, or worker_closed would be logged), the core's cancelling (the attempts had all of their time).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -94,19 +94,18 @@
 
 type worker struct {
 	WorkerEntry
-	cold          time.Duration // when it last began cold, as told; 0: long ago
-	luck          float64       // drawn at each start, part of a call
-	out           []*attempt    // in the order of their sends
-	slope         fit
-	fails         []drift       // by class, whether calls go unserved there
-	delay         drift         // the fit's constant: what others queue there beyond the average
-	heard, probed time.Duration // last sign of life, last probe
-	probing       bool
-	strikes       int
-	orders        int           // of ours that are out
-	aside, broke  time.Duration // set aside until then; when a connection last ended under calls
-	sends         []*attempt    // within FallFor, while cold
-	copies        map[FunctionID]*instance
+	cold            time.Duration // when it last began cold, as told; 0: long ago
+	luck            float64       // drawn at each start, part of a call
+	out             []*attempt    // in the order of their sends
+	slope           fit
+	fails           []drift       // by class, whether calls go unserved there
+	delay           drift         // the fit's constant: what others queue there beyond the average
+	heard, probed   time.Duration // last sign of life, last probe
+	probing         bool
+	strikes, orders int           // orders: of ours that are out
+	aside, broke    time.Duration // set aside until then; when a connection last ended under calls
+	sends           []*attempt    // within FallFor, while cold
+	copies          map[FunctionID]*instance
 }
 
 // instance is what we believe of a function at a worker.
@@ -122,24 +121,21 @@
 
 type request struct {
 	Arrived
-	fn           *function
-	deadline     time.Duration
-	attempts     []*attempt
-	outstand     int
-	ran          *attempt // the first attempt that may have run
-	done, stream bool
-	over         bool      // beyond its tenant's share
-	shunned      []*worker // turned it away or failed it
+	fn                 *function
+	deadline           time.Duration
+	attempts           []*attempt
+	outstand           int
+	ran                *attempt  // the first attempt that may have run
+	done, stream, over bool      // over: beyond its tenant's share
+	shunned            []*worker // turned it away or failed it
 }
 
 type attempt struct {
-	req            *request
-	number         int
-	w              *worker
-	sent, expected time.Duration
-	inFlight       int
-	cold, likely   bool // thought cold; at a home where a copy likely stood
-	ended, called  bool // called: we called it off
+	req                         *request
+	w                           *worker
+	sent, expected              time.Duration
+	number, inFlight            int
+	cold, likely, ended, called bool // thought cold; at a home where a copy likely stood; called: off, by us
 }
 
 // New returns a Policy for one dispatcher; all its random choices follow from seed.
@@ -699,6 +695,10 @@
 			p.reported(w, e.Report)
 			w.delay.see(p.now, max(clip*p.run(r), w.delay.now(p.now)))
 		}
+	case Cancelled, TimedOut: // unanswered to its end: the worker may be well and serve others only
+		if !a.cold && p.now >= r.deadline-2*p.cfg.Tick && e.Took > clip*a.expected {
+			w.fails[r.Class].see(p.now, 1)
+		}
 	case Reset: // its process died, or a connection broke alone: a probe tells, else the next dial
 		if !w.probing && w.broke != p.now { // one sign, however many calls were on the connection
 			w.broke = p.now
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -857,6 +857,38 @@
 	}
 }
 
+// Guards a class whose calls a worker takes in and never answers, while it goes on serving the others.
+func TestUnansweredClassLeavesItsWorker(t *testing.T) {
+	for _, given := range []bool{false, true} { // up, by the client
+		cfg := config()
+		cfg.MayProbe = false
+		b := newBed(t, cfg, 4)
+		at := b.serve(7, 80*ms, WasWarm)
+		id, acts := b.arrive(2, 7)
+		if s, _ := first[Send](acts); s.Worker != at {
+			t.Fatalf("warm at %d, sent to %d", at, s.Worker)
+		}
+		start := b.now
+		for range 30 {
+			b.serve(7, 80*ms, WasWarm)
+		}
+		if given {
+			b.do(Abandoned{Request: id})
+		} else {
+			b.now = start + 4*time.Second - 2*cfg.Tick
+			b.do(TimerFired{Token: doneToken + uint64(id)})
+		}
+		b.do(AttemptEnded{Request: id, Worker: at, Outcome: Cancelled, Closed: true, Took: b.now - start})
+		if got := b.serve(7, 80*ms, WasWarm); got != at {
+			t.Errorf("given up by the client %v: the class that is served left for %d", given, got)
+		}
+		_, acts = b.arrive(2, 7)
+		if s, _ := first[Send](acts); (s.Worker == at) != given {
+			t.Errorf("given up by the client %v: the next call went to %d from %d", given, s.Worker, at)
+		}
+	}
+}
+
 // Little time left is no reason to refuse what most likely stands loaded at its home.
 func TestShortOfTimeIsSentToALikelyWarmHome(t *testing.T) {
 	for left, want := range map[time.Duration]bool{20 * ms: false, 300 * ms: true} { // no run ends in 20 ms
