Blame no worker for errors to calls of functions that nobody has served

Evidence: "errored=237" against "full=2 reset=0 ... clients_closed front=thrift count=12 err=malformed message": clients there send calls of functions that do not exist.

At fault: policy.ended counted each such error as a call of its class that the worker leaves unserved, which puts a share of a call's whole time on that worker's score: warm workers looked slow, in turn, at the will of whoever could connect. An error counts now where the function has been served by any worker, else the call may be to blame.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,9 +84,9 @@
 type function struct {
 	id             FunctionID
 	run, n         float64
-	calls          float64 // ours before the last, decaying over rateSpan
+	calls, jams    float64 // ours before the last, over rateSpan; late or turned away, less those not
 	loadTime, used time.Duration
-	jams           float64 // calls late or turned away where a copy stood, less those that were not
+	served         bool // by any worker
 }
 
 // fit is a line through the origin, queueing delay over requests in flight: the ratio of their sums.
@@ -676,7 +676,7 @@
 	case Served:
 		p.alive(w)
 		w.fails[r.Class].see(p.now, 0)
-		p.rate += p.classes[r.Class].run
+		p.rate, r.fn.served = p.rate+p.classes[r.Class].run, true
 		p.learn(a, e)
 	case Errored, Full, Missed:
 		p.alive(w)
@@ -688,7 +688,7 @@
 		switch {
 		case e.Note == LoadFailed:
 			p.loadFailed(1)
-		case e.Outcome == Errored:
+		case e.Outcome == Errored && r.fn.served: // else the call may be to blame
 			w.fails[r.Class].see(p.now, 1)
 		case e.Outcome == Full && (!a.cold || a.likely):
 			p.jam(r.fn)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -857,6 +857,36 @@
 	}
 }
 
+// Guards workers against blame for calls that none can serve: whoever can connect could ask for functions
+// that do not exist, and have each worker called unfit in turn.
+func TestCallsOfUnknownFunctionsBlameNoWorker(t *testing.T) {
+	b := newBed(t, config(), 4)
+	at := b.serve(7, 80*ms, WasWarm)
+	for f := FunctionID(100); f < 110; f++ {
+		id, acts := b.arrive(0, f)
+		for n := 0; ; n++ { // at one worker after another
+			s, ok := first[Send](acts)
+			if !ok {
+				break
+			}
+			acts = b.do(AttemptEnded{Request: id, Attempt: n, Worker: s.Worker, Outcome: Errored, Took: ms})
+		}
+	}
+	for _, w := range b.p.fleet {
+		if share := w.fails[0].now(b.now); share > 0 {
+			t.Errorf("%.0f%% of calls are thought to go unserved at worker %d", 100*share, w.Worker)
+		}
+	}
+	id, acts := b.arrive(0, 7)
+	if s, _ := first[Send](acts); s.Worker != at {
+		t.Errorf("the warm worker %d is left for %d", at, s.Worker)
+	}
+	b.do(AttemptEnded{Request: id, Worker: at, Outcome: Errored, Took: ms})
+	if b.p.workers[at].fails[0].now(b.now) == 0 {
+		t.Error("an error to a call of a function that was served counts for nothing")
+	}
+}
+
 // Guards a class whose calls a worker takes in and never answers, while it goes on serving the others.
 func TestUnansweredClassLeavesItsWorker(t *testing.T) {
 	for _, given := range []bool{false, true} { // up, by the client
