Dial again after a reset in place of calling the worker unreachable

Symptom left: workers are still set aside for seconds, now and then, though none of them has died.

With calls spread over more connections there are more dials.

At fault: resp.conn.Opened. It took every failed dial for a worker that is not there. A process that does not run refuses; a connection that is reset while it is new was taken by one that does. What waits behind the dial never left, so it goes behind another one, twice at the most. Refused and late dials end as before, and a worker that drains gets none.

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"log"
+	"net"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"crankhold/internal/loop"
@@ -29,6 +31,7 @@
 	stuckAfter = 600 * time.Millisecond // the rest of an answer that has begun is not waited for any longer
 
 	probeTries = 2 // times that a probe is sent again after its connection broke
+	dialTries  = 2 // times that what waits behind a dial gets another one after a reset
 
 	partKept = 4 << 10 // a larger buffer is let go once it is empty
 )
@@ -100,7 +103,7 @@
 	body    []byte
 	conn    *conn
 	written bool
-	broken  int // probe: connections that ended under it
+	broken  int // connections that ended under it, where it is sent again for that
 	sent    time.Duration
 }
 
@@ -444,7 +447,7 @@
 	if !c.up || c.idle() {
 		c.close()
 		if !c.up {
-			c.lost(policy.Unreachable)
+			c.lost(policy.Unreachable, false)
 		}
 		return
 	}
@@ -479,11 +482,12 @@
 	}
 }
 
-// Opened is the end of the dial. A refused or late one proves that nothing ran.
+// Opened is the end of the dial. A refused or late one proves that nothing ran. One that is reset was taken
+// by a process that runs, so another is worth a try: to call its worker unreachable would be wrong.
 func (c *conn) Opened(err error) {
 	if err != nil {
 		log.Printf("event=dial_failed addr=%s err=%q", c.w.addr, err)
-		c.lost(policy.Unreachable)
+		c.lost(policy.Unreachable, errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed))
 		return
 	}
 	c.up = true
@@ -504,12 +508,13 @@
 			*l = losses{told: c.pool.now}
 		}
 	}
-	c.lost(policy.Reset)
+	c.lost(policy.Reset, false)
 }
 
 // lost ends all that is open on c. Calls are written as soon as the dial is through, so those of a
-// dial that failed never left, and those of a connection that ended did.
-func (c *conn) lost(o policy.Outcome) {
+// dial that failed never left, and those of a connection that ended did. Redial has the former sent over
+// another connection.
+func (c *conn) lost(o policy.Outcome, redial bool) {
 	w := c.w
 	for i, other := range w.conns {
 		if other == c {
@@ -528,6 +533,13 @@
 			c.pool.ask(w.id, again, false)
 			continue
 		}
+		if redial && w.ready && k.broken < dialTries {
+			k.broken++
+			if other := c.pool.pick(w, k); other != nil {
+				other.send(k)
+				continue
+			}
+		}
 		c.pool.end(k, o)
 	}
 }
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -432,6 +435,42 @@
 	}
 }
 
+// Guards workers that are well against connections that are reset when new: what waits behind such a dial
+// gets another, a few times. One that is refused, or a worker that drains meanwhile, gets none.
+func TestResetDialIsTriedAgain(t *testing.T) {
+	dial := func(err error) error {
+		return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
+	}
+	for name, c := range map[string]struct {
+		errs  []error
+		state policy.WorkerState
+		dials int
+		ends  bool
+	}{
+		"reset once":         {[]error{dial(syscall.ECONNRESET), nil}, policy.Ready, 2, false},
+		"closed at once":     {[]error{net.ErrClosed, nil}, policy.Ready, 2, false},
+		"reset again":        {[]error{dial(syscall.ECONNRESET), dial(syscall.ECONNRESET), dial(syscall.ECONNRESET)}, policy.Ready, 3, true},
+		"refused":            {[]error{dial(syscall.ECONNREFUSED)}, policy.Ready, 1, true},
+		"reset and draining": {[]error{dial(syscall.ECONNRESET)}, policy.Draining, 1, true},
+	} {
+		p, s, lines := newPool()
+		a := router.Attempt{Request: 1}
+		p.Run(1, a, request("00000000000000a1"), time.Second)
+		p.Set(1, "", c.state)
+		for n, err := range c.errs {
+			if n < len(*lines) {
+				(*lines)[n].h.Opened(err)
+			}
+		}
+		if len(*lines) != c.dials || (len(s.ended[a]) == 1) != c.ends || c.ends && s.ended[a][0] != policy.Unreachable {
+			t.Errorf("%s: %d dials, ended %v", name, len(*lines), s.ended[a])
+		}
+		if on := ran(*lines, "00000000000000a1"); (len(on) == 1) == c.ends {
+			t.Errorf("%s: written to %d connections", name, len(on))
+		}
+	}
+}
+
 // Guards calls against each other's connections: one that breaks ends a few of a worker's calls, not most.
 func TestBrokenConnectionTakesFewCallsAlong(t *testing.T) {
 	p, s, lines := newPool()
