Read the directory's UDP socket without nbio, which panics without its own address

Only getsockname tells nothing that Go takes for a UDP address; LocalAddr is then nil, which the net package allows, and nbio's dupStdConn asserts its type.

At fault: Loop.Dial, which handed UDP sockets to nbio.NBConn.

Now a goroutine of its own reads a UDP socket, with the standard library; the loop's bound on queued bytes holds for it too. That also saves the second descriptor that nbio's dup takes for a moment.

--- a/cmd/crankhold/hooks.go
+++ b/cmd/crankhold/hooks.go
@@ -57,7 +57,7 @@
 		}
 		if cfg.Enabled {
 			h.exporter = ipfix.New(cfg, time.Now, func(d loop.Dialled) ipfix.Line {
-				return lp.Dial("udp", cfg.Collector, time.Second, d)
+				return lp.DialUDP(cfg.Collector, d)
 			})
 			log.Printf("event=export_on collector=%s", cfg.Collector)
 		}
@@ -95,7 +95,7 @@
 	}
 	if cfg.Sender.Enabled {
 		h.sender, err = webhook.NewSender(cfg, time.Now, func(addr string, timeout time.Duration, d loop.Dialled) webhook.Line {
-			return lp.Dial("tcp", addr, timeout, d)
+			return lp.Dial(addr, timeout, d)
 		})
 		if err != nil {
 			return err
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -72,11 +72,11 @@
 		DialTimeout: millis(c.network.Limits.DialTimeoutMs), KeepAlive: millis(c.network.Limits.KeepaliveMs),
 		PerConn: c.network.Limits.StreamsPerConn, MaxConns: c.workerConns(),
 		Dial: func(addr string, timeout time.Duration, h loop.Dialled) resp.Line {
-			return lp.Dial("tcp", addr, timeout, h)
+			return lp.Dial(addr, timeout, h)
 		}}, core)
 	core.Use(pool)
 	names := directory.New(c.Names,
-		func(addr string, h loop.Dialled) directory.Line { return lp.Dial("udp", addr, time.Second, h) },
+		func(addr string, h loop.Dialled) directory.Line { return lp.DialUDP(addr, h) },
 		func(list []directory.Worker) { follow(lp, core, pool, c.network.FailureDomains, list) })
 	if err := names.Start(c.Known); err != nil {
 		return err
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -109,7 +109,7 @@
 type item struct {
 	conn *Conn
 	nc   *nbio.Conn // gotDial
-	data []byte
+	data []byte     // it waits while too many bytes are queued
 	err  error
 	kind kind
 	call func()
@@ -249,7 +249,7 @@
 // the loop has not seen hold descriptors beyond the limit on them.
 func (l *Loop) push(it item) {
 	l.mu.Lock()
-	for l.queued > l.cfg.MaxQueued && it.kind == gotData || l.fresh >= maxAccepts && it.kind == gotConn {
+	for l.queued > l.cfg.MaxQueued && len(it.data) > 0 || l.fresh >= maxAccepts && it.kind == gotConn {
 		l.room.Wait()
 	}
 	if it.kind == gotConn {
@@ -434,15 +434,15 @@
 	return c.loop.now-c.heard > idleAfter
 }
 
-// Dial opens a connection and returns at once. A net.Dialer does it on a goroutine of its own: in
+// Dial opens a TCP connection and returns at once. A net.Dialer does it on a goroutine of its own: in
 // nbio 1.6.8 a refused DialAsync is first reported as connected, and one that connects at once
 // leaves its write event set, on which the poller then spins.
-func (l *Loop) Dial(network, addr string, timeout time.Duration, h Dialled) *Conn {
+func (l *Loop) Dial(addr string, timeout time.Duration, h Dialled) *Conn {
 	c := &Conn{loop: l, h: h}
 	go func() {
 		d := net.Dialer{Timeout: timeout}
 		var nc *nbio.Conn
-		std, err := d.Dial(network, addr)
+		std, err := d.Dial("tcp", addr)
 		if err == nil {
 			if nc, err = nbio.NBConn(std); err == nil {
 				nc.SetSession(c)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -162,12 +162,12 @@
 	addr := free.Addr().String()
 	free.Close()
 	refused := &dialled{make(chan error, 2), make(chan error, 2)}
-	l.Post(func() { l.Dial("tcp", addr, time.Second, refused) })
+	l.Post(func() { l.Dial(addr, time.Second, refused) })
 	if err := <-refused.opened; !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("a refused dial: %v", err)
 	}
 	up := &dialled{make(chan error, 2), make(chan error, 2)}
-	l.Post(func() { l.Dial("tcp", l.Addrs()[0], time.Second, up) })
+	l.Post(func() { l.Dial(l.Addrs()[0], time.Second, up) })
 	if err := <-up.opened; err != nil {
 		t.Errorf("a dial: %v", err)
 	}
--- a/internal/webhook/webhook_test.go
+++ b/internal/webhook/webhook_test.go
@@ -402,7 +402,7 @@
 	cfg.Sender.Key = filepath.Join(t.TempDir(), "key")
 	os.WriteFile(cfg.Sender.Key, []byte("whsec_"+base64.StdEncoding.EncodeToString(secret)), 0o600)
 	if p.sends, err = NewSender(cfg, wall, func(addr string, timeout time.Duration, h loop.Dialled) Line {
-		return p.lp.Dial("tcp", addr, timeout, h)
+		return p.lp.Dial(addr, timeout, h)
 	}); err != nil {
 		t.Fatal(err)
 	}
