Tell the module of a list before the pool gives back what waited for it

Symptom: a call that waits behind a dial to a worker that begins to drain is refused although the same list names a worker that is ready; where many drain at once it uses up an attempt on each.

At fault: follow in cmd/crankhold/main.go called pool.Set before core.SetList. Pool.Set ends what waits behind a dial (dropQueue), so the module heard Unreachable before the list and placed the call by the list before: on workers that drain as well, or on none. Ruled out: the module (given the list first it places the call), the pool (it ends the call in the same turn).

--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -173,7 +173,8 @@
 	}
 }
 
-// follow hands a list of workers to those who need it.
+// follow hands a list of workers to those who need it, to the module first: what the pool gives back on its
+// account is placed anew by this list, not by the one before.
 func follow(lp *loop.Loop, core *router.Core, pool *resp.Pool, zones []string, list []directory.Worker) {
 	l := policy.WorkerList{Kind: policy.ListWhole}
 	present := map[policy.WorkerID]bool{}
@@ -183,13 +184,15 @@
 		if w.Started > 0 {
 			e.Started = max(lp.FromUnix(time.UnixMilli(w.Started)), 1)
 		}
-		present[e.Worker] = true
-		pool.Set(e.Worker, w.Addr, w.State)
 		l.Workers = append(l.Workers, e)
 		log.Printf("event=worker name=%s addr=%s state=%d weight=%g started=%d", w.Name, w.Addr, w.State, w.Weight, w.Started)
 	}
-	pool.Retain(present)
 	core.SetList(l)
+	for _, w := range list {
+		present[w.ID()] = true
+		pool.Set(w.ID(), w.Addr, w.State)
+	}
+	pool.Retain(present)
 }
 
 // printCounters logs what was taken, sent and answered.
