Take back what waits behind a dial when its client leaves, with or without cancels

Evidence: TestClientLeavesBehindADial, real sockets, the dial held by a full accept queue until both the leaving and a further call have been read. Ruled out: unread input (the router had answered a check behind the leaving), the pool's queue (Stop takes a call out of it).

The core now withdraws what has not been sent as it closes a request. The other side of the same rule: the core's own time-outs had the pool send STOP whatever the settings say; it now does so only where they allow it.

--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -11,6 +11,37 @@
 // slowDial has a dial last until its worker accepts: the kernel sends the connect anew after a second.
 const slowDial = `"limits":{"dialTimeoutMs":15000},`
 
+// A client that has gone has no attempt begin for it, also where the settings allow no cancels: what waits
+// behind a dial is taken back.
+func TestClientLeavesBehindADial(t *testing.T) {
+	for name, leave := range map[string]func(c *client){
+		"closes":     func(c *client) { c.Close() },
+		"interrupts": func(c *client) { c.interrupt(c.seq) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := listenRunner(t, "127.0.0.1:0").full()
+			r := startRig(t, slowDial, entry{id: "s-1", addr: w.addr})
+			c, other := r.dial(), r.dial()
+			c.call("safe", "00000000000000a1", "of the one that left")
+			other.check()
+			leave(c)
+			other.check()
+			other.call("safe", "00000000000000a2", "of the one that stays")
+			other.check()
+			w.accept()
+			if a := w.next(); a.body != "of the one that stays" {
+				t.Errorf("the worker was sent %q", a.body)
+			} else {
+				a.answer("HIT", "done")
+			}
+			if verdict, _ := other.answer(); verdict != "served" {
+				t.Errorf("the client that stayed was %s", verdict)
+			}
+			w.none()
+		})
+	}
+}
+
 // A dial that comes up after its worker began to drain, or had gone, carries nothing; what waited behind it
 // goes elsewhere at once.
 func TestDialComesUpAfterDrain(t *testing.T) {
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -70,7 +70,7 @@
 		MaxAttempts: c.module.MaxAttempts, OrderTimeout: c.module.OrderTimeout, ProbeTimeout: probeTimeout})
 	pool := resp.New(resp.Config{Classes: classes, ReportFields: c.module.ReportFields,
 		DialTimeout: millis(c.network.Limits.DialTimeoutMs), KeepAlive: millis(c.network.Limits.KeepaliveMs),
-		PerConn: c.network.Limits.StreamsPerConn, MaxConns: c.workerConns(),
+		PerConn: c.network.Limits.StreamsPerConn, MaxConns: c.workerConns(), MayStop: c.module.MayCancel,
 		Dial: func(addr string, timeout time.Duration, h loop.Dialled) resp.Line {
 			return lp.Dial(addr, timeout, h)
 		}}, core)
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -65,6 +65,7 @@
 	KeepAlive    time.Duration // a worker closes a connection that is idle for so long
 	PerConn      int           // calls at a time on one connection
 	MaxConns     int           // to all workers together
+	MayStop      bool          // workers may be told that a call is given up
 	Dial         func(addr string, timeout time.Duration, h loop.Dialled) Line
 }
 
@@ -195,21 +196,29 @@
 	p.sink.AttemptEnded(a, policy.Unreachable, policy.NoNote, nil, nil)
 }
 
+// Withdraw takes back a call that waits behind a dial.
+func (p *Pool) Withdraw(a router.Attempt) bool {
+	k := p.calls[a]
+	if k == nil || k.written {
+		return false
+	}
+	delete(p.calls, a)
+	k.conn.unqueue(k)
+	return true
+}
+
 // Stop gives a call up. Its connection does not carry its id again: an answer on its way must not end
-// another attempt of the same request.
+// another attempt of the same request. The worker is told where the settings allow cancels.
 func (p *Pool) Stop(_ policy.WorkerID, a router.Attempt) {
 	k := p.calls[a]
-	if k == nil {
+	if k == nil || p.Withdraw(a) {
 		return
 	}
 	delete(p.calls, a)
-	c := k.conn
-	if !k.written {
-		c.unqueue(k)
-		return
+	k.conn.take(k)
+	if p.cfg.MayStop {
+		k.conn.line.Write(array("STOP", k.token))
 	}
-	c.take(k)
-	c.line.Write(array("STOP", k.token))
 }
 
 // Hold sends an order to load; a count of 0 only asks.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -44,7 +44,7 @@
 	s := &sink{map[router.Attempt][]policy.Outcome{}, map[uint64][]policy.Outcome{}, map[router.Attempt]string{}}
 	var lines []*line
 	p := New(Config{Classes: []string{"dim-level"}, ReportFields: []string{"inflight"}, DialTimeout: time.Second,
-		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, Dial: func(_ string, _ time.Duration, h loop.Dialled) Line {
+		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, MayStop: true, Dial: func(_ string, _ time.Duration, h loop.Dialled) Line {
 			lines = append(lines, &line{h: h})
 			return lines[len(lines)-1]
 		}}, s)
@@ -533,3 +533,31 @@
 		t.Errorf("%d workers and %d calls stay", len(p.workers), len(p.calls))
 	}
 }
+
+// Guards workers against cancels that the settings do not allow. A call that has yet to be sent is taken back
+// without a word.
+func TestStopIsSentOnlyWhereAllowed(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		p, s, lines := newPool()
+		p.cfg.MayStop = allowed
+		out, waits := router.Attempt{Request: 1}, router.Attempt{Request: 2}
+		p.Run(1, out, request("00000000000000a1"), time.Second)
+		l := (*lines)[0]
+		if l.h.Opened(nil); p.Withdraw(out) {
+			t.Error("a call that was written was taken back")
+		}
+		p.Stop(1, out)
+		if got := strings.Contains(l.Wrote.String(), "STOP\r\n"); got != allowed {
+			t.Errorf("allowed %v: a cancel was sent: %v", allowed, got)
+		}
+		p.Set(1, "127.0.0.1:2", policy.Ready) // the next call waits behind a dial
+		p.Run(1, waits, request("00000000000000a2"), time.Second)
+		fresh := (*lines)[1]
+		if !p.Withdraw(waits) || p.Withdraw(waits) {
+			t.Error("a call that waits was not taken back, or twice")
+		}
+		if fresh.h.Opened(nil); fresh.Wrote.Len() > 0 || len(s.ended) > 0 {
+			t.Errorf("wrote %q, ended %v", fresh.Wrote.String(), s.ended)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,6 +118,8 @@
 // Core's AttemptEnded, HoldEnded or Probed, at once or later.
 type Workers interface {
 	Run(w policy.WorkerID, a Attempt, r *Request, budget time.Duration)
+	// Withdraw takes an attempt back of which nothing has been sent; false: it has ended, or is out.
+	Withdraw(a Attempt) bool
 	// Stop gives an attempt up; it is answered no more.
 	Stop(w policy.WorkerID, a Attempt)
 	Hold(w policy.WorkerID, f policy.FunctionID, count int, tag uint64)
@@ -422,6 +424,11 @@
 
 func (c *Core) close(id policy.RequestID, e *entry, end string) {
 	e.done = true
+	for n := range e.attempts { // nobody waits any more for what has yet to be sent
+		if a := (Attempt{id, n}); !e.attempts[n].ended && c.workers.Withdraw(a) {
+			c.AttemptEnded(a, policy.Moot, policy.NoNote, nil, nil)
+		}
+	}
 	if c.Observe != nil {
 		c.Observe(c.now, &e.Request, end)
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -30,6 +30,7 @@
 	w.out[a] = id
 	w.runs[a.Request] = append(w.runs[a.Request], a)
 }
+func (w *workers) Withdraw(Attempt) bool                                        { return false }
 func (w *workers) Stop(_ policy.WorkerID, a Attempt)                            { delete(w.out, a) }
 func (w *workers) Hold(_ policy.WorkerID, _ policy.FunctionID, _ int, t uint64) { w.holds[t] = true }
 func (w *workers) Probe(_ policy.WorkerID, t uint64)                            { w.asks[t] = true }
--- a/internal/webhook/webhook_test.go
+++ b/internal/webhook/webhook_test.go
@@ -372,6 +372,7 @@
 	}
 	p.core.AttemptEnded(a, o, policy.WasWarm, []byte("done "+body), nil)
 }
+func (p *plant) Withdraw(router.Attempt) bool         { return false }
 func (p *plant) Stop(policy.WorkerID, router.Attempt) {}
 func (p *plant) Hold(_ policy.WorkerID, _ policy.FunctionID, _ int, tag uint64) {
 	p.core.HoldEnded(tag, policy.Served, 1)
