Take the time for a stop's last answers from the deadlines, in place of a fixed 3.5 s

At fault: flushFor in cmd/crankhold/main.go, 3.5 s whatever the settings say. The platform kills the longest deadline (3 s at most) and 0.7 s after SIGTERM at the earliest. With deadlines of 3 s and more it stays 3.5 s.

Found by reading the shutdown line by line; TestStopEndsBeforeTheKill fails without it.

--- a/cmd/crankhold/config.go
+++ b/cmd/crankhold/config.go
@@ -118,6 +118,17 @@
 // maxOpen is how many requests may be open: at 2 KiB each, bodies aside, a sixteenth of the memory.
 func (c *config) maxOpen() int { return min(c.network.Limits.MaxOpen, c.Limits.MemoryMB*32) }
 
+// flushFor is how long after SIGTERM slow clients may take their answers in or send the rest of a request, and
+// notices be delivered. The platform kills the longest deadline, or 3 s if that is less, and 0.7 s after
+// SIGTERM at the earliest; the last 0.2 s of that are for a machine that stalls.
+func (c *config) flushFor() time.Duration {
+	longest := time.Duration(0)
+	for _, k := range c.module.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	return min(longest, 3*time.Second) + 500*time.Millisecond
+}
+
 // turnedAway is what clients are told that there is no room for.
 func (c *config) turnedAway() time.Duration {
 	if !c.module.RetryAfter {
--- a/cmd/crankhold/config_test.go
+++ b/cmd/crankhold/config_test.go
@@ -97,3 +97,15 @@
 		t.Errorf("advice %v", c.turnedAway())
 	}
 }
+
+// Guards a stop against a time that is longer than what the platform leaves, which the deadlines tell.
+func TestStopEndsBeforeTheKill(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	for deadline, want := range map[string]time.Duration{"3000": 3500 * time.Millisecond, "9000": 3500 * time.Millisecond,
+		"1800": 2300 * time.Millisecond} {
+		c, err := readText(path, strings.Replace(goodConfig, `"deadlineMs":3000`, `"deadlineMs":`+deadline, 1))
+		if err != nil || c.flushFor() != want {
+			t.Errorf("deadline of %s ms: %v, %v; want %v", deadline, c.flushFor(), err, want)
+		}
+	}
+}
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -25,9 +25,6 @@
 	// for 0.4 s, requests on open ones for 0.2 s more; what came within 0.7 s must be answered.
 	lingerFor = 750 * time.Millisecond
 
-	// flushFor is how long slow clients may take their answers in, and notices be delivered. The
-	// platform kills 3.7 s after SIGTERM at the earliest.
-	flushFor      = 3500 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
 	countersEvery = 5 * time.Second // between lines of counters in the log
 	procs         = 4               // so that a poller asleep in the kernel does not hold up the loop
@@ -145,7 +142,7 @@
 		if stopping > 0 {
 			since := now - stopping
 			core.Draining = since >= lingerFor
-			done := core.Open() == 0 && (lp.Unwritten() == 0 && hooks.open() == 0 || since >= flushFor)
+			done := core.Open() == 0 && (lp.Unwritten() == 0 && hooks.open() == 0 || since >= c.flushFor())
 			if since >= lingerFor && done {
 				lp.Stop()
 			}
