Wait at a stop for requests of which half has come and for answers yet to be flushed

Symptom: a request whose first bytes came before or just after SIGTERM and whose last byte comes once new calls are no longer expected gets no answer: the router has ended, and the request counts as lost. So does an answer that the last turn queued, where its client's socket takes only a part of it.

Evidence: TestHalfARequestAtSIGTERM, real sockets; the second half is sent once a call is refused because the time for new ones is over. At fault: the condition for ending in serve (cmd/crankhold/main.go) looked only at open requests and at what was already handed to the sockets. A request that is half read is none of these, and Loop.Unwritten left out what the turn had queued, though serve asks before the turn's flush. Ruled out: the front (the rest of the frame is read and answered once the process is there), Draining (it refuses at once, as it should).

Calls under way, behind a dial, and on connections made after SIGTERM were found right.

--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -92,6 +92,40 @@
 	}
 }
 
+// A request of which half has come when SIGTERM does is answered, however late its rest comes within the time
+// that a message has; so is one on a connection made after SIGTERM.
+func TestHalfARequestAtSIGTERM(t *testing.T) {
+	w := listenRunner(t, "127.0.0.1:0").accept()
+	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
+	half, c := r.dial(), r.dial()
+	frame := half.request("safe", "00000000000000a1", "in two pieces", 5*time.Second)
+	half.send(frame[:len(frame)/2])
+	c.check()
+	r.terminate(c)
+	fresh := r.dial()
+	fresh.call("safe", "00000000000000a2", "on a new connection")
+	w.next().answer("HIT", "done")
+	if verdict, _ := fresh.answer(); verdict != "served" {
+		t.Errorf("a call on a new connection was %s", verdict)
+	}
+	for n, verdict := 0, "served"; verdict == "served"; n++ { // until the time for new calls is over
+		c.call("safe", fmt.Sprintf("%016x", 0xb0+n), "more")
+		select {
+		case a := <-w.runs:
+			a.answer("HIT", "done")
+		case <-r.ended:
+			t.Fatal("the router ended with half a request read")
+		case <-time.After(time.Second):
+		}
+		verdict, _ = c.answer()
+	}
+	half.send(frame[len(frame)/2:])
+	if verdict, _ := half.answer(); verdict != "refused" {
+		t.Errorf("the rest of a request was %s", verdict)
+	}
+	r.over()
+}
+
 // SIGTERM with a call under way and another behind a dial: both get their answers, and the router ends.
 func TestCallsUnderWayAtSIGTERM(t *testing.T) {
 	w := listenRunner(t, "127.0.0.1:0").accept()
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -142,7 +142,8 @@
 		if stopping > 0 {
 			since := now - stopping
 			core.Draining = since >= lingerFor
-			done := core.Open() == 0 && (lp.Unwritten() == 0 && hooks.open() == 0 || since >= c.flushFor())
+			idle := lp.Unwritten() == 0 && !lp.Begun() && hooks.open() == 0
+			done := core.Open() == 0 && (idle || since >= c.flushFor())
 			if since >= lingerFor && done {
 				lp.Stop()
 			}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -545,13 +545,26 @@
 	c.loop.unread.Add(int64(n))
 }
 
-// Unwritten is how many bytes accepted peers have yet to take.
+// Unwritten is how many bytes accepted peers have yet to take, those that this turn queued included.
 func (l *Loop) Unwritten() int {
-	sum := int64(0)
+	sum := 0
 	for c := range l.accepted {
-		sum += c.unread.Load()
+		sum += int(c.unread.Load())
+		for _, b := range c.out {
+			sum += len(b)
+		}
+	}
+	return sum
+}
+
+// Begun tells whether the beginning of a message has come on an accepted connection, and its end has not.
+func (l *Loop) Begun() bool {
+	for c := range l.accepted {
+		if c.begun > 0 && !c.closed {
+			return true
+		}
 	}
-	return int(sum)
+	return false
 }
 
 // fail ends c after a failed write; the handler hears of it in a later turn.
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -268,3 +268,43 @@
 		t.Errorf("%d connections waited at once, %d turns", most, turns)
 	}
 }
+
+// Guards the last answers of a program that ends: what a turn has queued counts as unwritten before the
+// turn's flush, and a message of which only the beginning has come is known of.
+func TestWhatIsOwedAtTheEndIsCounted(t *testing.T) {
+	e := &echo{times: 1, begun: true, ends: make(chan error, 1)}
+	up, told := make(chan struct{}), make(chan int)
+	l := start(t, 10, func(c *Conn) Accepted {
+		e.c = c
+		close(up)
+		return e
+	})
+	c := dial(t, l)
+	<-up
+	begun := false
+	l.Post(func() {
+		before := l.Unwritten()
+		e.c.Write([]byte("answer"), nil, []byte("|"))
+		told <- l.Unwritten() - before
+	})
+	if n := <-told; n != 7 {
+		t.Errorf("%d bytes of 7 are known to be unwritten in the turn that queued them", n)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 7)); err != nil {
+		t.Fatal(err)
+	}
+	c.Write([]byte("half"))
+	if _, err := io.ReadFull(c, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []bool{true, false} {
+		l.Post(func() { begun = l.Begun(); told <- 0 })
+		if <-told; begun != want {
+			t.Errorf("a message has begun: %v, want %v", begun, want)
+		}
+		c.Close()
+		if want {
+			<-e.ends
+		}
+	}
+}
