Retire connections to a worker that were dialled before its process started

Symptom: a worker that vanished and came back at its address, or was started anew there, still gets calls over connections of before. Its machine answers those with a reset; the call counts as one that may have run, so one that may not be repeated fails.

Evidence: TestWorkerStartsAnewAtItsAddress, real sockets; the list tells of the start before the next call comes. Before: "the call went over a connection to the process before", and "the call was failed". At fault: Pool.Set (internal/resp/pool.go) retired connections only where the address changed; the start's time reached the module alone. Ruled out: an address that another worker takes over (TestAddressIsUsedAgain, found right: connections belong to a worker's id).

--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -297,6 +297,28 @@
 	}
 }
 
+// A worker that started anew at its address has dropped what was open to its machine before: a call that may
+// not be repeated must not be tried on such a connection.
+func TestWorkerStartsAnewAtItsAddress(t *testing.T) {
+	w := listenRunner(t, "127.0.0.1:0").accept()
+	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
+	c := r.dial()
+	c.call("unsafe", "00000000000000a1", "to the old process")
+	old := w.next()
+	old.answer("HIT", "done")
+	c.answer()
+	r.tell(2, entry{id: "s-1", addr: w.addr, started: time.Now().UnixMilli()})
+	c.call("unsafe", "00000000000000a2", "to the new process")
+	if a := w.next(); a.conn == old.conn {
+		t.Error("the call went over a connection to the process before")
+	} else {
+		a.answer("HIT", "done")
+	}
+	if verdict, _ := c.answer(); verdict != "served" {
+		t.Errorf("the call was %s", verdict)
+	}
+}
+
 // A process that starts with an old list: the workers on it have gone, and one that it does not know serves.
 func TestStartsWithAnOldList(t *testing.T) {
 	gone, w := listenRunner(t, "127.0.0.1:0"), listenRunner(t, "127.0.0.1:0").accept()
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -186,9 +186,9 @@
 		log.Printf("event=worker name=%s addr=%s state=%d weight=%g started=%d", w.Name, w.Addr, w.State, w.Weight, w.Started)
 	}
 	core.SetList(l)
-	for _, w := range list {
+	for i, w := range list {
 		present[w.ID()] = true
-		pool.Set(w.ID(), w.Addr, w.State)
+		pool.Set(w.ID(), w.Addr, w.State, l.Workers[i].Started)
 	}
 	pool.Retain(present)
 }
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -128,6 +128,7 @@
 	ended   recent           // ids of calls that are no longer open
 	queue   []*call          // behind the dial
 	runs    int
+	dialled time.Duration
 	used    time.Duration
 	heard   time.Duration // when the last whole answer came
 	proved  time.Duration // when the latest of the calls was sent that have been answered
@@ -144,9 +145,10 @@
 // SetNow moves the clock on.
 func (p *Pool) SetNow(now time.Duration) { p.now = max(p.now, now) }
 
-// Set tells of a worker's address and whether it takes anything new. What waits behind a dial to
-// one that no longer does is ended unsent: its dial may come up after the time allowed for sends.
-func (p *Pool) Set(id policy.WorkerID, addr string, state policy.WorkerState) {
+// Set tells of a worker's address, whether it takes anything new, and when its process started, or 0. What
+// waits behind a dial to one that no longer does is ended unsent: its dial may come up after the time allowed
+// for sends.
+func (p *Pool) Set(id policy.WorkerID, addr string, state policy.WorkerState, started time.Duration) {
 	w := p.workers[id]
 	if w == nil {
 		if state == policy.Gone {
@@ -155,11 +157,14 @@
 		w = &worker{id: id}
 		p.workers[id] = w
 	}
-	if addr != "" && addr != w.addr {
-		// It restarted elsewhere; whatever listens at its old address may be another worker.
-		for _, c := range slices.Clone(w.conns) {
+	for _, c := range slices.Clone(w.conns) {
+		// It restarted elsewhere, and whatever listens at its old address may be another worker; or a machine
+		// that vanished came back, and answers what still comes on a connection of before with a reset.
+		if addr != "" && addr != w.addr || c.dialled < started {
 			c.retire()
 		}
+	}
+	if addr != "" {
 		w.addr = addr
 	}
 	if w.ready = state == policy.Ready; !w.ready {
@@ -176,7 +181,7 @@
 func (p *Pool) Retain(present map[policy.WorkerID]bool) {
 	for id := range p.workers {
 		if !present[id] {
-			p.Set(id, "", policy.Gone)
+			p.Set(id, "", policy.Gone, 0)
 		}
 	}
 }
@@ -372,7 +377,7 @@
 	if rank > 1 && best.runs < fewCalls || len(w.conns) >= maxConns || w.addr == "" || !p.room() {
 		return best
 	}
-	c := &conn{pool: p, w: w, open: map[string]*call{}, used: p.now}
+	c := &conn{pool: p, w: w, open: map[string]*call{}, dialled: p.now, used: p.now}
 	w.conns = append(w.conns, c)
 	c.line = p.cfg.Dial(w.addr, p.cfg.DialTimeout, c)
 	return c
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -48,7 +48,7 @@
 			lines = append(lines, &line{h: h})
 			return lines[len(lines)-1]
 		}}, s)
-	p.Set(1, "127.0.0.1:1", policy.Ready)
+	p.Set(1, "127.0.0.1:1", policy.Ready, 0)
 	return p, s, &lines
 }
 
@@ -178,13 +178,13 @@
 				}
 			},
 			"drain": func(t *rapid.T) { // what waits behind a dial ends unsent at once
-				p.Set(1, "127.0.0.1:1", policy.Draining)
+				p.Set(1, "127.0.0.1:1", policy.Draining, 0)
 				for _, a := range out {
 					if len(s.ended[a]) == 0 && len(wrote(id(a))) == 0 {
 						t.Fatalf("%v still waits to be sent to a draining worker", a)
 					}
 				}
-				p.Set(1, "127.0.0.1:1", policy.Ready)
+				p.Set(1, "127.0.0.1:1", policy.Ready, 0)
 			},
 			"": func(t *rapid.T) {
 				for _, l := range *lines {
@@ -209,7 +209,7 @@
 func TestOrderBehindADialIsNotSentToADrainingWorker(t *testing.T) {
 	p, s, lines := newPool()
 	p.Hold(1, 5, 1, 9)
-	p.Set(1, "127.0.0.1:1", policy.Draining)
+	p.Set(1, "127.0.0.1:1", policy.Draining, 0)
 	(*lines)[0].h.Opened(nil)
 	if got := (*lines)[0].Wrote.String(); got != "" || len(s.asked[9]) != 1 || s.asked[9][0] != policy.Full {
 		t.Errorf("wrote %q, ended %v", got, s.asked[9])
@@ -221,7 +221,7 @@
 	p, _, lines := newPool()
 	p.Probe(1, 1)
 	p.Retain(map[policy.WorkerID]bool{2: true})
-	p.Set(2, "127.0.0.1:1", policy.Ready)
+	p.Set(2, "127.0.0.1:1", policy.Ready, 0)
 	p.Run(2, router.Attempt{Request: 1}, request("0123456789abcdef"), time.Second)
 	if len(*lines) != 2 {
 		t.Errorf("%d connections", len(*lines))
@@ -421,7 +421,7 @@
 	p, s, lines := newPool()
 	p.cfg.MaxConns = 3
 	for w := range policy.WorkerID(5) {
-		p.Set(w+1, fmt.Sprintf("127.0.0.1:%d", w+1), policy.Ready)
+		p.Set(w+1, fmt.Sprintf("127.0.0.1:%d", w+1), policy.Ready, 0)
 		p.Run(w+1, router.Attempt{Request: policy.RequestID(w)}, request(fmt.Sprintf("%016x", w)), time.Second)
 	}
 	if len(*lines) != 3 || s.ended[router.Attempt{Request: 4}][0] != policy.Unreachable {
@@ -456,7 +456,7 @@
 		p, s, lines := newPool()
 		a := router.Attempt{Request: 1}
 		p.Run(1, a, request("00000000000000a1"), time.Second)
-		p.Set(1, "", c.state)
+		p.Set(1, "", c.state, 0)
 		for n, err := range c.errs {
 			if n < len(*lines) {
 				(*lines)[n].h.Opened(err)
@@ -506,7 +506,7 @@
 	for g := range 200 {
 		w := policy.WorkerID(g + 2)
 		p.Retain(map[policy.WorkerID]bool{w: true})
-		p.Set(w, "127.0.0.1:1", policy.Ready)
+		p.Set(w, "127.0.0.1:1", policy.Ready, 0)
 		a := router.Attempt{Request: policy.RequestID(g)}
 		p.Run(w, a, request(fmt.Sprintf("%016x", g)), time.Second)
 		p.Hold(w, 7, 1, uint64(g))
@@ -550,7 +550,7 @@
 		if got := strings.Contains(l.Wrote.String(), "STOP\r\n"); got != allowed {
 			t.Errorf("allowed %v: a cancel was sent: %v", allowed, got)
 		}
-		p.Set(1, "127.0.0.1:2", policy.Ready) // the next call waits behind a dial
+		p.Set(1, "127.0.0.1:2", policy.Ready, 0) // the next call waits behind a dial
 		p.Run(1, waits, request("00000000000000a2"), time.Second)
 		fresh := (*lines)[1]
 		if !p.Withdraw(waits) || p.Withdraw(waits) {
