Call off a dial to a worker that drains or has gone once nothing waits behind it

Evidence: TestDialComesUpAfterDrain now has the worker wait for the router to end the connection, which also proves that nothing ever came over it. Before: "a connection that came up too late for its worker is kept", for draining and gone alike. The calls behind it were given back in time before, too. At fault: dropQueue (internal/resp/pool.go) emptied the queue and left the dial alone. Ruled out: CloseIdle, which Set calls for a worker that has gone: it looks only at connections that are up.

--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -62,10 +62,12 @@
 			if verdict, _ := c.answer(); verdict != "served" {
 				t.Errorf("the call was %s", verdict)
 			}
-			w.accept() // the dial comes up, if it was not given up
-			c.call("safe", "00000000000000a2", "two")
-			other.next().answer("HIT", "done")
-			c.answer()
+			w.accept() // the dial comes up
+			select {
+			case <-w.ends:
+			case <-time.After(patience):
+				t.Error("a connection that came up too late for its worker is kept")
+			}
 			w.none()
 		})
 	}
--- a/cmd/crankhold/rig_test.go
+++ b/cmd/crankhold/rig_test.go
@@ -268,6 +268,7 @@
 	fd   int
 	addr string
 	runs chan arrival
+	ends chan struct{} // connections that the router ended
 	mu   sync.Mutex
 	all  []net.Conn
 	held []net.Conn // fill the queue of what waits to be accepted
@@ -287,7 +288,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &runner{t: t, fd: fd, runs: make(chan arrival, 100)}
+	w := &runner{t: t, fd: fd, runs: make(chan arrival, 100), ends: make(chan struct{}, 100)}
 	to := netip.MustParseAddrPort(addr)
 	if err := errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1),
 		syscall.Bind(fd, &syscall.SockaddrInet4{Addr: to.Addr().As4(), Port: int(to.Port())}), syscall.Listen(fd, 0)); err != nil {
@@ -358,6 +359,7 @@
 	for in := bufio.NewReader(c); ; {
 		line, err := in.ReadString('\n')
 		if err != nil {
+			w.ends <- struct{}{}
 			return
 		}
 		n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -168,7 +168,7 @@
 		w.addr = addr
 	}
 	if w.ready = state == policy.Ready; !w.ready {
-		for _, c := range w.conns {
+		for _, c := range slices.Clone(w.conns) {
 			c.dropQueue()
 		}
 	}
@@ -438,7 +438,8 @@
 	}
 }
 
-// dropQueue ends what waits behind the dial, probes aside: it never left.
+// dropQueue ends what waits behind the dial, probes aside: it never left. A dial that nothing waits behind any
+// more is called off.
 func (c *conn) dropQueue() {
 	var keep []*call
 	for _, k := range c.queue {
@@ -453,7 +454,9 @@
 			c.pool.end(k, policy.Unreachable)
 		}
 	}
-	c.queue = keep
+	if c.queue = keep; !c.up && len(keep) == 0 {
+		c.retire()
+	}
 }
 
 // retire has c take nothing new; it closes once its calls have ended.
