Let idle connections make room before those that have sent half of a request

Symptom: where as many connections are open as are accepted, one more ends the one that was heard of longest ago, also when half of its next request has come. Its client has written a request to a connection that was accepted and gets no answer; sent again it is only if the close crosses its last byte within 50 ms.

Evidence: TestHalfARequestKeepsItsConnection, real sockets: a client that asked sends half a frame, then as many connections ask as may be accepted. Before: "no call came to the worker", the client's read ended. At fault: Conn.rank (internal/loop/loop.go) knew only whether a whole message had ever come. Those that never asked and send half a message still make room for nobody longer than that: late closes them.

--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -335,3 +335,22 @@
 		t.Errorf("the call was %s", verdict)
 	}
 }
+
+// A request of which half has come is answered though connections come that make others give way: an idle
+// client makes room first, also one that was heard of later.
+func TestHalfARequestKeepsItsConnection(t *testing.T) {
+	w := listenRunner(t, "127.0.0.1:0").accept()
+	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
+	half := r.dial()
+	half.check()
+	frame := half.request("safe", "00000000000000a1", "in two pieces", 5*time.Second)
+	half.send(frame[:len(frame)/2])
+	for range 1024 / 3 { // as many as may be accepted: each has asked, and is heard of later than the half
+		r.dial().check()
+	}
+	half.send(frame[len(frame)/2:])
+	w.next().answer("HIT", "done")
+	if verdict, _ := half.answer(); verdict != "served" {
+		t.Errorf("the request was %s", verdict)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -372,9 +372,9 @@
 }
 
 // evict closes an accepted connection on which nothing is owed, to make room: the oldest of those that
-// should have sent a message and did not, else the one that has been idle for longest, and one that has
-// only just come if there is no other. Connections that are opened by hundreds and say nothing so end each
-// other, and neither those of clients that asked nor those whose request is on its way.
+// should have begun a message and did not, else the one that has been idle for longest, and one that has only
+// just come or has sent half a message if there is no other. Connections that are opened by hundreds and say
+// nothing so end each other, and neither those of clients that asked nor those whose request is on its way.
 func (l *Loop) evict() bool {
 	var idle *Conn
 	for c := range l.accepted {
@@ -394,6 +394,8 @@
 // rank orders the accepted connections by which is to make room first.
 func (c *Conn) rank() int {
 	switch {
+	case c.begun > 0: // its rest may be on its way, and a client can't know that it was not read
+		return 2
 	case c.whole > 0:
 		return 1
 	case c.loop.now-c.heard > askAfter:
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -212,8 +212,9 @@
 }
 
 // Guards clients that asked against connections that are opened by hundreds and say nothing: those make
-// room for each other, the oldest first. One that has only just come may have its request on the way, and
-// one whose answer is queued or not yet read would lose it.
+// room for each other, the oldest first. One that has only just come may have its request on the way, one
+// that has sent half of a request may have its rest there, and one whose answer is queued or not yet read would
+// lose it.
 func TestSilentConnectionsMakeRoomFirst(t *testing.T) {
 	l := New(Config{})
 	add := func(whole int, busy bool, heard time.Duration) *Conn {
@@ -222,8 +223,10 @@
 		return c
 	}
 	now := l.now
+	begun := func(c *Conn) *Conn { c.begun = now; return c }
 	order := []*Conn{add(0, false, now-2*askAfter), add(0, false, now-askAfter-1), add(1, false, now-1000*askAfter),
-		add(3, false, now-2), add(0, false, now-askAfter), add(0, false, now)}
+		add(3, false, now-2), begun(add(1, false, now-9*askAfter)), begun(add(0, false, now-2*askAfter)),
+		add(0, false, now-askAfter), add(0, false, now)}
 	busy := add(0, true, 0)
 	queued, unread := add(1, false, 0), add(1, false, 0)
 	queued.Write([]byte("answer"))
