Test with real connections what crosses a kill, full descriptors, a retry and paused reads

Idle clients that fill their third of 128 descriptors while the directory's port refuses leave enough for it, a dial and a call; a process killed with a call out and a connection just accepted starts again from an old list; a client that has gone gets no further attempt; a close behind reads that wait for the loop is heard of in order, on that connection and on others.

--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -354,3 +354,32 @@
 		t.Errorf("the request was %s", verdict)
 	}
 }
+
+// A client that has gone while its call is out gets no further attempt when that one fails.
+func TestClientLeavesBeforeARetry(t *testing.T) {
+	first, second := listenRunner(t, "127.0.0.1:0").accept(), listenRunner(t, "127.0.0.1:0").accept()
+	r := startRig(t, `"limits":{"maxAttempts":6},`, entry{id: "s-1", addr: first.addr}, entry{id: "s-2", addr: second.addr})
+	other := r.dial()
+	for name, leave := range map[string]func(c *client){
+		"closes":     func(c *client) { c.Close() },
+		"interrupts": func(c *client) { c.interrupt(c.seq) },
+	} {
+		c := r.dial()
+		c.call("safe", "00000000000000a1", "one")
+		var a arrival
+		select {
+		case a = <-first.runs:
+		case a = <-second.runs:
+		}
+		leave(c)
+		other.check()
+		a.answer("FAULT", "")
+		a.answer("NONE", "")
+		other.check() // both have been read
+		first.none()
+		second.none()
+		if t.Failed() {
+			t.Fatal(name)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/crankhold/process_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+)
+
+// asRouter has the test's program be the router itself, with so many descriptors.
+const asRouter = "CRANKHOLD_TEST_AS_ROUTER"
+
+func TestMain(m *testing.M) {
+	if most := os.Getenv(asRouter); most != "" {
+		n, err := strconv.ParseUint(most, 10, 64)
+		if err == nil {
+			err = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n})
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// startProcess runs the router as a process of its own, with no more descriptors than it is told. The rig has
+// no log and no signals of its own.
+func startProcess(t *testing.T, sockets int, n *names, list ...entry) (*rig, *os.Process) {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, names: n, listen: free.Addr().String(), ended: make(chan error, 1)}
+	free.Close()
+	r.path = filepath.Join(t.TempDir(), "config.json")
+	r.text = configText(t, r.listen, n.addr(), sockets, "", list...)
+	if _, err := readText(r.path, r.text); err != nil {
+		t.Fatal(err)
+	}
+	return r, r.restart(sockets)
+}
+
+// restart starts the process again, from nothing but its configuration.
+func (r *rig) restart(sockets int) *os.Process {
+	r.t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+r.path, fmt.Sprintf("%s=%d", asRouter, sockets))
+	if err := cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	r.dial().check()
+	return cmd.Process
+}
+
+// Idle clients fill what there is for clients, and go on coming, while the directory is away: what is kept
+// back is enough to ask it once it is there, to dial the worker that it tells of, and to take a call.
+func TestIdleClientsLeaveDescriptors(t *testing.T) {
+	const sockets = 128
+	n := listenNames(t)
+	addr := n.addr()
+	n.Close() // its port refuses, and each query takes a new socket
+	old, w := listenRunner(t, "127.0.0.1:0"), listenRunner(t, "127.0.0.1:0").accept()
+	old.stop()
+	r, process := startProcess(t, sockets, n, entry{id: "s-1", addr: old.addr})
+	for range 3 * sockets {
+		r.dial()
+	}
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", process.Pid))
+	if err != nil || len(files) < sockets/3 {
+		t.Fatalf("the clients fill %d descriptors only, %v", len(files), err)
+	}
+	r.names = listenNamesAt(t, addr)
+	r.names.answer(r.names.query(), 2, entry{id: "s-2", addr: w.addr})
+	w.answerAll()
+	for verdict := ""; verdict != "served"; { // refused until the list has been read
+		c := r.dial()
+		c.call("safe", "00000000000000a1", "one")
+		verdict, _ = c.answer()
+	}
+}
+
+// A process is killed just after it accepted a connection and with a call out, and starts again from its old
+// list: its clients hear of the end at once, and the new process serves by the list that it is told.
+func TestKilledProcessStartsAgain(t *testing.T) {
+	first, second := listenRunner(t, "127.0.0.1:0").accept(), listenRunner(t, "127.0.0.1:0").accept()
+	r, process := startProcess(t, 256, listenNames(t), entry{id: "s-1", addr: first.addr})
+	c := r.dial()
+	c.call("unsafe", "00000000000000a1", "one")
+	a := first.next()
+	fresh := r.dial()
+	if err := process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []*client{c, fresh} {
+		if _, _, err := c.read(); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("a connection to a process that was killed: %v", err)
+		}
+	}
+	first.stop()
+	r.restart(256)
+	a.answer("HIT", "to nobody")
+	second.answerAll()
+	for verdict := ""; verdict != "served"; { // the first queries are the old process's
+		r.names.answer(r.names.query(), 5, entry{id: "s-2", addr: second.addr})
+		again := r.dial()
+		again.call("unsafe", "00000000000000a2", "two")
+		verdict, _ = again.answer()
+	}
+}
--- a/cmd/crankhold/rig_test.go
+++ b/cmd/crankhold/rig_test.go
@@ -270,8 +270,8 @@
 	runs chan arrival
 	ends chan struct{} // connections that the router ended
 	mu   sync.Mutex
-	all  []net.Conn
-	held []net.Conn // fill the queue of what waits to be accepted
+	all  []io.Closer // the listener and its connections
+	held []net.Conn  // fill the queue of what waits to be accepted
 }
 
 // arrival is a call as it came to a worker.
@@ -326,7 +326,9 @@
 	w.mu.Lock()
 	w.fd = -1
 	w.mu.Unlock()
-	w.t.Cleanup(func() { ln.Close() })
+	w.mu.Lock()
+	w.all = append(w.all, ln)
+	w.mu.Unlock()
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -349,7 +351,10 @@
 		syscall.Close(w.fd)
 		w.fd = -1
 	}
-	for _, c := range append(w.all, w.held...) {
+	for _, c := range w.all {
+		c.Close()
+	}
+	for _, c := range w.held {
 		c.Close()
 	}
 }
@@ -387,6 +392,15 @@
 	}
 }
 
+// answerAll serves all calls from now on.
+func (w *runner) answerAll() {
+	go func() {
+		for a := range w.runs {
+			a.answer("HIT", "done")
+		}
+	}()
+}
+
 // next is the next call to come to the worker.
 func (w *runner) next() arrival {
 	w.t.Helper()
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -311,3 +311,74 @@
 		}
 	}
 }
+
+// taker hands on what it hears, in order.
+type taker struct{ heard chan string }
+
+func (h *taker) Data(b []byte)         { h.heard <- string(b) }
+func (h *taker) Closed(error)          { h.heard <- "closed" }
+func (h *taker) Busy() bool            { return false }
+func (h *taker) Messages() (int, bool) { return 1, false }
+
+// While too much is queued no connection is read. A close that comes meanwhile, on the connection that filled
+// the queue or on another, is heard of as soon as the loop goes on, behind what was sent before it.
+func TestCloseBehindPausedReads(t *testing.T) {
+	h := []*taker{{make(chan string, 1000)}, {make(chan string, 1000)}}
+	var accepted []*Conn
+	up := make(chan struct{})
+	l := New(Config{MaxAccepted: 10, MaxFiles: 256, MaxQueued: 10, MaxUnread: 1 << 20})
+	l.Listen("127.0.0.1:0", func(c *Conn) Accepted {
+		accepted = append(accepted, c)
+		defer func() { up <- struct{}{} }()
+		return h[len(accepted)-1]
+	})
+	if err := l.Start(); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		l.Run(func(time.Duration) {}, func(now time.Duration) time.Duration { return now + time.Hour })
+		close(done)
+	}()
+	defer func() {
+		l.Post(l.Stop)
+		<-done
+	}()
+	loud := dial(t, l)
+	<-up
+	quiet := dial(t, l)
+	<-up
+	held, gate := make(chan struct{}), make(chan struct{})
+	l.Post(func() { close(held); <-gate })
+	<-held
+	text := bytes.Repeat([]byte("x"), 3*readBuffer) // more than one read takes, so that the second one waits
+	if _, err := loud.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	loud.Close()
+	quiet.Close()
+	for full := false; !full; { // until the poller waits
+		l.mu.Lock()
+		full = l.queued > l.cfg.MaxQueued
+		l.mu.Unlock()
+	}
+	close(gate)
+	for size, last := 0, ""; last != "closed"; size += len(last) {
+		select {
+		case last = <-h[0].heard:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("no close was heard after %d bytes of %d", size, len(text))
+		}
+		if last == "closed" && size != len(text) {
+			t.Errorf("the close was heard after %d bytes of %d", size, len(text))
+		}
+	}
+	select {
+	case last := <-h[1].heard:
+		if last != "closed" {
+			t.Errorf("heard %q", last)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the other connection's close was not heard")
+	}
+}
