Count each call against the tenant that it names, not against the first of the settings

Symptom: at a site with tenants all calls count against the first one's share. Half of the traffic is then beyond it, and is shed and refused first, whoever sent it.

--- a/cmd/crankhold/config.go
+++ b/cmd/crankhold/config.go
@@ -39,6 +39,9 @@
 	Classes        []struct {
 		Name string `json:"name"`
 	} `json:"classes"`
+	Accounts []struct {
+		Name string `json:"name"`
+	} `json:"accounts"`
 	Limits struct {
 		DialTimeoutMs  float64 `json:"dialTimeoutMs"`
 		KeepaliveMs    float64 `json:"keepaliveMs"`
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -57,10 +57,13 @@
 	if err != nil {
 		return err
 	}
-	var classes []string
+	var classes, tenants []string
 	for _, k := range c.network.Classes {
 		classes = append(classes, k.Name)
 	}
+	for _, a := range c.network.Accounts {
+		tenants = append(tenants, a.Name)
+	}
 	lp := loop.New(loop.Config{MaxAccepted: c.clientConns(), MaxFiles: c.Limits.Sockets,
 		MaxQueued: c.share(8 << 20), MaxUnread: c.share(32 << 20)})
 	core := router.New(module, router.Limits{MaxOpen: c.maxOpen(), MaxBytes: c.share(24 << 20), RetryAfter: c.turnedAway(),
@@ -84,7 +87,7 @@
 	}
 	stopping := time.Duration(0)
 	// Good once there is a worker to send to, and no longer once we stop.
-	front := thrift.New(core, classes, lp.Now, func() bool { return names.Size() > 0 && stopping == 0 })
+	front := thrift.New(core, classes, tenants, lp.Now, func() bool { return names.Size() > 0 && stopping == 0 })
 	lp.Listen(c.Listen, front.Accept)
 	if err := lp.Start(); err != nil {
 		return err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,7 @@
 	ID       string // as the client worded it
 	Ref      string // the client's own name for it, where that is not the ID
 	Class    int
+	Tenant   int    // as in the settings, or NoTenant
 	Key      string // the function, as the client worded it
 	Function policy.FunctionID
 	MemoryMB float64
@@ -75,6 +76,9 @@
 	Taken  time.Duration  // set by Take
 }
 
+// NoTenant is the Tenant of a request that names none that the settings know.
+const NoTenant = -1
+
 // ParseKey reads 16 hex digits in lower case, as keys and ids are worded. Any other wording of the same
 // number is refused: workers compare these as text, and an order to load names its function in this one.
 func ParseKey(s string) (uint64, bool) {
@@ -238,7 +242,7 @@
 	c.ids[r.ID] = struct{}{}
 	c.open++
 	c.bytes += len(r.Body)
-	c.events = append(c.events, policy.Arrived{Request: c.last, Class: r.Class, Function: r.Function, Lanes: r.Lanes,
+	c.events = append(c.events, policy.Arrived{Request: c.last, Class: r.Class, Tenant: r.Tenant, Function: r.Function, Lanes: r.Lanes,
 		MemoryMB: r.MemoryMB, LoadTime: r.LoadTime, Left: max(r.Deadline-c.now, 0)})
 	c.after(r.Deadline, timer{kind: timeUp, request: c.last})
 	return c.last
--- a/internal/thrift/front.go
+++ b/internal/thrift/front.go
@@ -37,15 +37,19 @@
 type Front struct {
 	core    Core
 	classes map[string]int
+	tenants map[string]int
 	clock   func() time.Duration
 	ready   func() bool
 	closed  int // for breaking the protocol, since the log last told
 	told    time.Duration
 }
 
-// New returns a Front for classes of these names. Ready tells what check answers.
-func New(core Core, classes []string, clock func() time.Duration, ready func() bool) *Front {
-	f := &Front{core: core, classes: map[string]int{}, clock: clock, ready: ready}
+// New returns a Front for classes and tenants of these names. Ready tells what check answers.
+func New(core Core, classes, tenants []string, clock func() time.Duration, ready func() bool) *Front {
+	f := &Front{core: core, classes: map[string]int{}, tenants: map[string]int{}, clock: clock, ready: ready}
+	for i, name := range tenants {
+		f.tenants[name] = i
+	}
 	for i, name := range classes {
 		f.classes[name] = i
 	}
@@ -232,7 +236,11 @@
 	if !ok {
 		return r, "class"
 	}
-	r = router.Request{Front: router.Thrift, Class: class, ID: string(fields["id"]), Key: string(fields["key"])}
+	tenant, ok := f.tenants[string(fields["tenant"])]
+	if !ok {
+		tenant = router.NoTenant
+	}
+	r = router.Request{Front: router.Thrift, Class: class, Tenant: tenant, ID: string(fields["id"]), Key: string(fields["key"])}
 	if _, ok := router.ParseKey(r.ID); !ok {
 		return r, "id"
 	}
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 
 func newClient() (*client, *core, *standin.Line) {
 	c, l := &core{}, &standin.Line{}
-	f := New(c, []string{"dim-level", "repair-order"}, func() time.Duration { return time.Hour }, func() bool { return true })
+	f := New(c, []string{"dim-level", "repair-order"}, []string{"north", "south"}, func() time.Duration { return time.Hour }, func() bool { return true })
 	return f.serve(l, netip.AddrPort{}), c, l
 }
 
@@ -67,6 +68,22 @@
 	return m.seq, field
 }
 
+// Guards tenants' shares: a call counts against the tenant that it names, by the settings' names, and one that
+// names none against nobody's, not against the first's.
+func TestCallsHaveTheirTenant(t *testing.T) {
+	c, k, _ := newClient()
+	for i, want := range map[string]int{"north": 0, "south": 1, "west": router.NoTenant, "": router.NoTenant} {
+		fields := good
+		if i != "" {
+			fields = append(slices.Clone(good), "tenant", i)
+		}
+		c.Data(execute(c.last+1, "body", fields...))
+		if got := k.taken[len(k.taken)-1].Tenant; got != want {
+			t.Errorf("tenant %q: %d, want %d", i, got, want)
+		}
+	}
+}
+
 // The model of a connection: whole calls reach the core however they are split, each open one gets
 // its one answer, an interrupted one gets none.
 func TestConnection(t *testing.T) {
--- a/internal/webhook/receiver.go
+++ b/internal/webhook/receiver.go
@@ -360,7 +360,7 @@
 	if wait == 0 || wait > k.Longest {
 		wait = k.Longest
 	}
-	return router.Request{Front: router.Webhook, Class: class, ID: newID(), Key: p.Data.Key, Function: policy.FunctionID(f),
+	return router.Request{Front: router.Webhook, Class: class, Tenant: router.NoTenant, ID: newID(), Key: p.Data.Key, Function: policy.FunctionID(f),
 		MemoryMB: p.Data.MemoryMB, Lanes: p.Data.Lanes, LoadTime: time.Duration(p.Data.LoadMs * 1e6),
 		Body: p.Data.Body, Deadline: v.clock() + router.TimeFor(wait)}, p.Timestamp, nil
 }
