--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -321,3 +321,26 @@
 		}
 	})
 }
+
+// Guards tenants' shares: the module hears whose call it is. A tenant without a share has one call let through
+// that will be late, and the next ones refused, while those of another tenant and of none go on.
+func TestModuleHearsOfTheTenant(t *testing.T) {
+	for tenant, want := range map[int]int{0: 1, 1: 5, NoTenant: 5} {
+		p, err := policy.New(policy.Config{Peers: 1, Tick: 4 * ms, OverShareWorth: 0.1, Tenants: []policy.Tenant{{}, {PerSecond: 1000}},
+			Classes: []policy.Class{{Aim: 400 * ms, Deadline: 9 * time.Second, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := New(p, Limits{MaxOpen: 50, MaxBytes: 1 << 16})
+		w := &workers{core: c, out: map[Attempt]policy.WorkerID{}, runs: map[policy.RequestID][]Attempt{}}
+		c.Use(w)
+		c.SetList(policy.WorkerList{Kind: policy.ListWhole, Workers: []policy.WorkerEntry{{Worker: 1, State: policy.Ready}}})
+		for n := range 5 {
+			c.Take(time.Hour, Request{Asker: &asker{core: c}, ID: fmt.Sprint(n), Tenant: tenant, Function: policy.FunctionID(n),
+				LoadTime: time.Second, Deadline: time.Hour + 9*time.Second})
+		}
+		if c.Turn(time.Hour); len(w.out) != want {
+			t.Errorf("tenant %d: %d calls of 5 were sent, want %d", tenant, len(w.out), want)
+		}
+	}
+}
