Test a dial past its time-out, descriptors that run out and starts that can't be

All were found right: a dial that its worker takes up after the time-out carries nothing; a process that has fewer descriptors than it was told answers what it has and serves again once there are some; an unusable file or a taken address ends the program with a plain message and a status that is not 0.

--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -73,6 +73,35 @@
 	}
 }
 
+// A dial that comes up after its time-out carries nothing: its call went elsewhere when the time was over.
+func TestDialComesUpAfterItsTimeout(t *testing.T) {
+	w, other := listenRunner(t, "127.0.0.1:0").full(), listenRunner(t, "127.0.0.1:0").accept()
+	r := startRig(t, `"limits":{"dialTimeoutMs":300},`, entry{id: "s-1", addr: w.addr})
+	c := r.dial()
+	c.call("unsafe", "00000000000000a1", "one")
+	c.check()
+	r.tell(2, entry{id: "s-1", addr: w.addr}, entry{id: "s-2", addr: other.addr})
+	other.next().answer("HIT", "done")
+	if verdict, _ := c.answer(); verdict != "served" {
+		t.Errorf("the call was %s", verdict)
+	}
+	w.accept() // what the kernel took for the dial meanwhile has been closed
+	c.call("unsafe", "00000000000000a2", "two")
+	var a arrival
+	select {
+	case a = <-w.runs: // over a dial of its own
+	case a = <-other.runs:
+	case <-time.After(patience):
+		t.Fatal("no call came")
+	}
+	if a.body != "two" {
+		t.Errorf("a worker was sent %q", a.body)
+	}
+	a.answer("HIT", "done")
+	c.answer()
+	w.none()
+}
+
 // A list in which all but one of many workers drain costs a call that waits behind a dial one attempt, not
 // one for each of them.
 func TestManyDrainAtOnce(t *testing.T) {
--- a/cmd/crankhold/process_test.go
+++ b/cmd/crankhold/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 )
@@ -35,6 +36,12 @@
 // startProcess runs the router as a process of its own, with no more descriptors than it is told. The rig has
 // no log and no signals of its own.
 func startProcess(t *testing.T, sockets int, n *names, list ...entry) (*rig, *os.Process) {
+	t.Helper()
+	return startProcessWith(t, sockets, sockets, n, list...)
+}
+
+// startProcessWith runs it with files descriptors, whatever it is told.
+func startProcessWith(t *testing.T, sockets, files int, n *names, list ...entry) (*rig, *os.Process) {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,14 +54,14 @@
 	if _, err := readText(r.path, r.text); err != nil {
 		t.Fatal(err)
 	}
-	return r, r.restart(sockets)
+	return r, r.restart(files)
 }
 
 // restart starts the process again, from nothing but its configuration.
-func (r *rig) restart(sockets int) *os.Process {
+func (r *rig) restart(files int) *os.Process {
 	r.t.Helper()
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+r.path, fmt.Sprintf("%s=%d", asRouter, sockets))
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+r.path, fmt.Sprintf("%s=%d", asRouter, files))
 	if err := cmd.Start(); err != nil {
 		r.t.Fatal(err)
 	}
@@ -93,6 +100,70 @@
 	}
 }
 
+// A process that has fewer descriptors than it was told runs out of them: accepts, dials and queries fail, it
+// goes on all the same, answers those that it has, and serves again once there are descriptors.
+func TestDescriptorsRunOut(t *testing.T) {
+	const sockets = 1024
+	n := listenNames(t)
+	w := listenRunner(t, "127.0.0.1:0").accept()
+	r, process := startProcessWith(t, sockets, 48, n, entry{id: "s-1", addr: w.addr})
+	c := r.dial()
+	c.check()
+	var idle []*client
+	for full := false; !full; { // until an accept has failed
+		idle = append(idle, r.dial())
+		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		full = len(files) == 48
+	}
+	idle = append(idle, r.dial(), r.dial())
+	c.call("safe", "00000000000000a1", "one") // there is none left for its dial
+	if verdict, _ := c.answer(); verdict != "refused" {
+		t.Errorf("a call without a descriptor was %s", verdict)
+	}
+	for _, i := range idle {
+		i.Close()
+	}
+	w.answerAll()
+	for verdict, n := "", 0; verdict != "served"; n++ {
+		c.call("safe", fmt.Sprintf("%016x", 0xb0+n), "two")
+		verdict, _ = c.answer()
+	}
+}
+
+// An unusable configuration, and an address that is taken, end the program with a plain message.
+func TestUnusableStartEndsPlainly(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	good := configText(t, taken.Addr().String(), "127.0.0.1:9", 256, "")
+	for name, text := range map[string]string{
+		"half a file":         good[:len(good)/2],
+		"no classes":          strings.Replace(good, `"classes"`, `"klasses"`, 1),
+		"impossible deadline": strings.Replace(good, `"deadlineMs":6000`, `"deadlineMs":-1`, 1),
+		"a taken address":     good,
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, asRouter+"=256")
+		out, err := cmd.CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() <= 0 {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+		if !strings.Contains(string(out), "crankhold: ") || strings.Contains(string(out), "goroutine") {
+			t.Errorf("%s: %s", name, out)
+		}
+	}
+}
+
 // A process is killed just after it accepted a connection and with a call out, and starts again from its old
 // list: its clients hear of the end at once, and the new process serves by the list that it is told.
 func TestKilledProcessStartsAgain(t *testing.T) {
