--- a/cmd/crankhold/rig_test.go
+++ b/cmd/crankhold/rig_test.go
@@ -202,6 +202,15 @@
 	c.send(c.request(class, id, body, 5*time.Second))
 }
 
+// callUntilRefused calls until the router, which is to end, takes no more.
+func (c *client) callUntilRefused() {
+	c.t.Helper()
+	for verdict := "served"; verdict == "served"; {
+		c.call("safe", fmt.Sprintf("%016x", 0xb0000+c.seq), "more")
+		verdict, _ = c.answer()
+	}
+}
+
 // answer reads one: "served" and the body, "refused" or "failed".
 func (c *client) answer() (verdict, body string) {
 	c.t.Helper()
