Reuse each worker's id while following a list, and one loop for the front's names

follow hashed every worker's name two more times for the pool; the module's entries hold the ids, states and starts already. thrift.New built two maps of names by two loops. No change in behaviour.

--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -189,9 +189,9 @@
 		log.Printf("event=worker name=%s addr=%s state=%d weight=%g started=%d", w.Name, w.Addr, w.State, w.Weight, w.Started)
 	}
 	core.SetList(l)
-	for i, w := range list {
-		present[w.ID()] = true
-		pool.Set(w.ID(), w.Addr, w.State, l.Workers[i].Started)
+	for i, e := range l.Workers {
+		present[e.Worker] = true
+		pool.Set(e.Worker, list[i].Addr, e.State, e.Started)
 	}
 	pool.Retain(present)
 }
--- a/internal/thrift/front.go
+++ b/internal/thrift/front.go
@@ -46,14 +46,15 @@
 
 // New returns a Front for classes and tenants of these names. Ready tells what check answers.
 func New(core Core, classes, tenants []string, clock func() time.Duration, ready func() bool) *Front {
-	f := &Front{core: core, classes: map[string]int{}, tenants: map[string]int{}, clock: clock, ready: ready}
-	for i, name := range tenants {
-		f.tenants[name] = i
-	}
-	for i, name := range classes {
-		f.classes[name] = i
+	return &Front{core: core, classes: positions(classes), tenants: positions(tenants), clock: clock, ready: ready}
+}
+
+func positions(names []string) map[string]int {
+	at := make(map[string]int, len(names))
+	for i, name := range names {
+		at[name] = i
 	}
-	return f
+	return at
 }
 
 // Accept serves a connection.
