--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -142,7 +142,7 @@
 	r.over()
 }
 
-// SIGTERM with a call under way and another behind a dial: both get their answers, and the router ends.
+// SIGTERM with a call under way: it gets its answer, however late, and the router ends.
 func TestCallsUnderWayAtSIGTERM(t *testing.T) {
 	w := listenRunner(t, "127.0.0.1:0").accept()
 	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
