--- a/cmd/crankhold/crossings_test.go
+++ b/cmd/crankhold/crossings_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -19,7 +18,7 @@
 		"interrupts": func(c *client) { c.interrupt(c.seq) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := listenRunner(t, "127.0.0.1:0").full()
+			w := listenRunner(t).full()
 			r := startRig(t, slowDial, entry{id: "s-1", addr: w.addr})
 			c, other := r.dial(), r.dial()
 			c.call("safe", "00000000000000a1", "of the one that left")
@@ -47,7 +46,7 @@
 func TestDialComesUpAfterDrain(t *testing.T) {
 	for name, after := range map[string][]entry{"draining": {{id: "s-1", draining: true}}, "gone": nil} {
 		t.Run(name, func(t *testing.T) {
-			w, other := listenRunner(t, "127.0.0.1:0").full(), listenRunner(t, "127.0.0.1:0").accept()
+			w, other := listenRunner(t).full(), listenRunner(t).accept()
 			r := startRig(t, slowDial, entry{id: "s-1", addr: w.addr})
 			c := r.dial()
 			c.call("unsafe", "00000000000000a1", "one")
@@ -75,7 +74,7 @@
 
 // A dial that comes up after its time-out carries nothing: its call went elsewhere when the time was over.
 func TestDialComesUpAfterItsTimeout(t *testing.T) {
-	w, other := listenRunner(t, "127.0.0.1:0").full(), listenRunner(t, "127.0.0.1:0").accept()
+	w, other := listenRunner(t).full(), listenRunner(t).accept()
 	r := startRig(t, `"limits":{"dialTimeoutMs":300},`, entry{id: "s-1", addr: w.addr})
 	c := r.dial()
 	c.call("unsafe", "00000000000000a1", "one")
@@ -101,11 +100,11 @@
 func TestManyDrainAtOnce(t *testing.T) {
 	var known, drained []entry
 	for i := range 12 {
-		w := listenRunner(t, "127.0.0.1:0").full()
+		w := listenRunner(t).full()
 		known = append(known, entry{id: fmt.Sprintf("s-%02d", i), addr: w.addr})
 		drained = append(drained, entry{id: fmt.Sprintf("s-%02d", i), addr: w.addr, draining: true})
 	}
-	last := listenRunner(t, "127.0.0.1:0").accept()
+	last := listenRunner(t).accept()
 	r := startRig(t, `"limits":{"dialTimeoutMs":15000,"maxAttempts":2},`, known...)
 	c := r.dial()
 	c.call("unsafe", "00000000000000a1", "one")
@@ -120,7 +119,7 @@
 // A request of which half has come when SIGTERM does is answered, however late its rest comes within the time
 // that a message has; so is one on a connection made after SIGTERM.
 func TestHalfARequestAtSIGTERM(t *testing.T) {
-	w := listenRunner(t, "127.0.0.1:0").accept()
+	w := listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
 	half, c := r.dial(), r.dial()
 	frame := half.request("safe", "00000000000000a1", "in two pieces", 5*time.Second)
@@ -144,7 +143,7 @@
 
 // SIGTERM with a call under way: it gets its answer, however late, and the router ends.
 func TestCallsUnderWayAtSIGTERM(t *testing.T) {
-	w := listenRunner(t, "127.0.0.1:0").accept()
+	w := listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
 	c, second := r.dial(), r.dial()
 	c.call("unsafe", "00000000000000a1", "one")
@@ -162,15 +161,11 @@
 // A reload that moves the directory, and a drain that the new one tells: calls keep off that worker at once,
 // and what the old directory still says changes nothing.
 func TestReloadThenDrain(t *testing.T) {
-	first, second := listenRunner(t, "127.0.0.1:0").accept(), listenRunner(t, "127.0.0.1:0").accept()
+	first, second := listenRunner(t).accept(), listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: first.addr})
 	late := r.names.query() // of the old directory, unanswered
 	old, fresh := r.names, listenNames(t)
-	if _, err := readText(r.path, strings.Replace(r.text, old.addr(), fresh.addr(), 1)); err != nil {
-		t.Fatal(err)
-	}
-	r.signal(syscall.SIGHUP)
-	if err := <-r.reread; err != nil {
+	if err := r.reload(strings.Replace(r.text, old.addr(), fresh.addr(), 1)); err != nil {
 		t.Fatal(err)
 	}
 	r.names = fresh
@@ -190,7 +185,7 @@
 // A directory that is silent, one that is reset and one that answers late: calls go on by the list that is
 // known, and what it says at last is followed, as a whole.
 func TestDirectoryFallsSilent(t *testing.T) {
-	first, second := listenRunner(t, "127.0.0.1:0").accept(), listenRunner(t, "127.0.0.1:0").accept()
+	first, second := listenRunner(t).accept(), listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: first.addr})
 	c := r.dial()
 	serve := func(w *runner, id string) {
@@ -225,7 +220,7 @@
 // another worker, one that may not fails at once.
 func TestCloseCrossesASend(t *testing.T) {
 	for class, want := range map[string]string{"safe": "served", "unsafe": "failed"} {
-		first, second := listenRunner(t, "127.0.0.1:0").accept(), listenRunner(t, "127.0.0.1:0").accept()
+		first, second := listenRunner(t).accept(), listenRunner(t).accept()
 		r := startRig(t, `"limits":{"maxAttempts":6},`, entry{id: "s-1", addr: first.addr}, entry{id: "s-2", addr: second.addr})
 		c := r.dial()
 		c.call(class, "00000000000000a1", "one")
@@ -245,7 +240,7 @@
 // A second answer, in one piece with the first and behind it, reaches nobody: neither the client that has its
 // answer nor the one whose call comes next on that connection.
 func TestSecondAnswerReachesNobody(t *testing.T) {
-	w := listenRunner(t, "127.0.0.1:0").accept()
+	w := listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
 	c := r.dial()
 	c.call("unsafe", "00000000000000a1", "one")
@@ -275,7 +270,7 @@
 // A new worker has the address of one that has gone, with a call still out there: nothing of the new one's
 // goes over the old one's connection.
 func TestAddressIsUsedAgain(t *testing.T) {
-	w := listenRunner(t, "127.0.0.1:0").accept()
+	w := listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
 	c := r.dial()
 	c.call("unsafe", "00000000000000a1", "to the old one")
@@ -298,7 +293,7 @@
 // A worker that started anew at its address has dropped what was open to its machine before: a call that may
 // not be repeated must not be tried on such a connection.
 func TestWorkerStartsAnewAtItsAddress(t *testing.T) {
-	w := listenRunner(t, "127.0.0.1:0").accept()
+	w := listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
 	c := r.dial()
 	c.call("unsafe", "00000000000000a1", "to the old process")
@@ -320,7 +315,7 @@
 
 // A process that starts with an old list: the workers on it have gone, and one that it does not know serves.
 func TestStartsWithAnOldList(t *testing.T) {
-	gone, w := listenRunner(t, "127.0.0.1:0"), listenRunner(t, "127.0.0.1:0").accept()
+	gone, w := listenRunner(t), listenRunner(t).accept()
 	gone.stop()
 	r := startRig(t, `"limits":{"maxAttempts":6},`, entry{id: "s-1", addr: gone.addr}, entry{id: "s-2", addr: gone.addr})
 	r.tell(7, entry{id: "s-3", addr: w.addr})
@@ -335,7 +330,7 @@
 // A request of which half has come is answered though connections come that make others give way: an idle
 // client makes room first, also one that was heard of later.
 func TestHalfARequestKeepsItsConnection(t *testing.T) {
-	w := listenRunner(t, "127.0.0.1:0").accept()
+	w := listenRunner(t).accept()
 	r := startRig(t, "", entry{id: "s-1", addr: w.addr})
 	half := r.dial()
 	half.check()
@@ -353,7 +348,7 @@
 
 // A client that has gone while its call is out gets no further attempt when that one fails.
 func TestClientLeavesBeforeARetry(t *testing.T) {
-	first, second := listenRunner(t, "127.0.0.1:0").accept(), listenRunner(t, "127.0.0.1:0").accept()
+	first, second := listenRunner(t).accept(), listenRunner(t).accept()
 	r := startRig(t, `"limits":{"maxAttempts":6},`, entry{id: "s-1", addr: first.addr}, entry{id: "s-2", addr: second.addr})
 	other := r.dial()
 	for name, leave := range map[string]func(c *client){
--- a/cmd/crankhold/process_test.go
+++ b/cmd/crankhold/process_test.go
@@ -70,7 +70,7 @@
 	n := listenNames(t)
 	addr := n.addr()
 	n.Close() // its port refuses, and each query takes a new socket
-	old, w := listenRunner(t, "127.0.0.1:0"), listenRunner(t, "127.0.0.1:0").accept()
+	old, w := listenRunner(t), listenRunner(t).accept()
 	old.stop()
 	r, process := startProcess(t, sockets, n, entry{id: "s-1", addr: old.addr})
 	for range 3 * sockets {
@@ -95,7 +95,7 @@
 func TestDescriptorsRunOut(t *testing.T) {
 	const sockets = 1024
 	n := listenNames(t)
-	w := listenRunner(t, "127.0.0.1:0").accept()
+	w := listenRunner(t).accept()
 	r, _ := startProcessWith(t, sockets, 48, n, entry{id: "s-1", addr: w.addr})
 	c := r.dial()
 	c.check()
@@ -157,7 +157,7 @@
 // A process is killed just after it accepted a connection and with a call out, and starts again from its old
 // list: its clients hear of the end at once, and the new process serves by the list that it is told.
 func TestKilledProcessStartsAgain(t *testing.T) {
-	first, second := listenRunner(t, "127.0.0.1:0").accept(), listenRunner(t, "127.0.0.1:0").accept()
+	first, second := listenRunner(t).accept(), listenRunner(t).accept()
 	r, process := startProcess(t, 256, listenNames(t), entry{id: "s-1", addr: first.addr})
 	c := r.dial()
 	c.call("unsafe", "00000000000000a1", "one")
--- a/cmd/crankhold/rig_test.go
+++ b/cmd/crankhold/rig_test.go
@@ -112,6 +112,16 @@
 	}
 }
 
+// reload has the router read text as its configuration, and returns what came of that.
+func (r *rig) reload(text string) error {
+	r.t.Helper()
+	if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	r.signal(syscall.SIGHUP)
+	return <-r.reread
+}
+
 // terminate sends SIGTERM and waits until the router has taken it in.
 func (r *rig) terminate(c *client) {
 	r.t.Helper()
@@ -294,18 +304,16 @@
 	id, body string
 }
 
-// listenRunner returns a worker that listens at addr and accepts nothing yet: its kernel takes one connection
+// listenRunner returns a worker that listens and accepts nothing yet: its kernel takes one connection
 // for it, and no dial beside that one ends.
-func listenRunner(t *testing.T, addr string) *runner {
+func listenRunner(t *testing.T) *runner {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &runner{t: t, fd: fd, runs: make(chan arrival, 100), ends: make(chan struct{}, 100)}
-	to := netip.MustParseAddrPort(addr)
-	if err := errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1),
-		syscall.Bind(fd, &syscall.SockaddrInet4{Addr: to.Addr().As4(), Port: int(to.Port())}), syscall.Listen(fd, 0)); err != nil {
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
 		t.Fatal(err)
 	}
 	sa, err := syscall.Getsockname(fd)
