Log why client connections end, which requests end without a result, and only endpoints that change

Change: counters of accepted connections by the cause of their end, a line a second for those that ended with open requests and for requests that failed, met the deadline guard or lost their connection, with id and attempts; endpoint lines for changes alone.

--- a/cmd/functionrouter/counters.go
+++ b/cmd/functionrouter/counters.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"functionrouter/internal/eventloop"
 	"functionrouter/internal/router"
 	"functionrouter/policy"
 )
@@ -16,6 +17,7 @@
 	for f := range c.Received {
 		logRequestCounters(c, router.Frontend(f))
 	}
+	s.logConnectionCounters()
 	logAttemptCounters(c)
 	logGiveUpCounters(c)
 	logLoadOrderCounters(c)
@@ -28,7 +30,19 @@
 // logRequestCounters logs what clients sent to a frontend and what they were answered.
 func logRequestCounters(c *router.Counters, f router.Frontend) {
 	slog.Info("request counters", "frontend", f.String(), "received", c.Received[f], "served", c.Served[f],
-		"refused", c.Refused[f], "failed", c.Failed[f], "client_cancelled", c.ClientCancelled[f], "rejected", c.Rejected[f])
+		"refused", c.Refused[f], "failed", c.Failed[f], "client_cancelled", c.ClientCancelled[f], "rejected", c.Rejected[f],
+		"client_disconnected", c.ClientDisconnected[f])
+}
+
+// logConnectionCounters logs how many connections were accepted, and how many of them ended for each cause that occurred.
+func (s *server) logConnectionCounters() {
+	attributes := []any{"accepted", s.loop.Accepted}
+	for cause, count := range s.loop.Closed {
+		if count > 0 {
+			attributes = append(attributes, eventloop.CloseCause(cause).String(), count)
+		}
+	}
+	slog.Info("connection counters", attributes...)
 }
 
 // logAttemptCounters logs the attempts sent to workers and their outcomes. Requests that are overdue were answered
--- /dev/null
+++ b/cmd/functionrouter/endpoint_log.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+
+	"functionrouter/internal/discovery"
+)
+
+// endpointLog logs what a new endpoint list changes. A list of many workers comes with each change of one of them:
+// logged whole, it would crowd all else out of a log.
+type endpointLog struct {
+	logged map[string]discovery.Endpoint // the last list, by name
+}
+
+// record logs a line for each endpoint that list adds, changes or lacks, and one for the list.
+func (l *endpointLog) record(list []discovery.Endpoint) {
+	previous := l.logged
+	l.logged = make(map[string]discovery.Endpoint, len(list))
+	changed := 0
+	for _, e := range list {
+		before, known := previous[e.Name]
+		delete(previous, e.Name)
+		l.logged[e.Name] = e
+		if known && before == e {
+			continue
+		}
+		changed++
+		slog.Info("endpoint updated", "worker", e.Name, "worker_id", fmt.Sprintf("%016x", uint64(e.ID())),
+			"address", e.Addr, "state", e.State, "weight", e.Weight,
+			"started_unix_ms", e.Started)
+	}
+	for name, e := range previous {
+		slog.Info("endpoint removed", "worker", name, "address", e.Addr)
+	}
+	slog.Info("endpoint list applied", "endpoints", len(list), "changed", changed, "removed", len(previous))
+}
--- /dev/null
+++ b/cmd/functionrouter/endpoint_log_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"functionrouter/internal/discovery"
+	"functionrouter/policy"
+)
+
+// A list that repeats what is known logs one line; only what it changes is logged besides.
+func TestEndpointLogTellsChangesOnly(t *testing.T) {
+	captured := newLogCapture()
+	captured.install(t)
+	first := discovery.Endpoint{Name: "s-1", Addr: "127.0.0.1:1", State: policy.Ready}
+	second := discovery.Endpoint{Name: "s-2", Addr: "127.0.0.1:2", State: policy.Ready}
+	draining := second
+	draining.State = policy.Draining
+	var l endpointLog
+	for _, step := range []struct {
+		list                     []discovery.Endpoint
+		updated, removed, missed string
+	}{
+		{list: []discovery.Endpoint{first, second}, updated: "worker=s-2"},
+		{list: []discovery.Endpoint{first, second}, missed: "worker=s-1"},
+		{list: []discovery.Endpoint{first, draining}, updated: "worker=s-2", missed: "worker=s-1"},
+		{list: []discovery.Endpoint{draining}, removed: "worker=s-1", missed: "worker=s-2"},
+	} {
+		from := captured.end()
+		l.record(step.list)
+		text := captured.text.String()[from:]
+		if !strings.Contains(text, `msg="endpoint list applied"`) ||
+			step.updated != "" && !strings.Contains(text, `msg="endpoint updated" `+step.updated) ||
+			step.removed != "" && !strings.Contains(text, `msg="endpoint removed" `+step.removed) ||
+			step.missed != "" && strings.Contains(text, step.missed) {
+			t.Errorf("the list %v logged %q", step.list, text)
+		}
+	}
+}
--- a/cmd/functionrouter/endpoints.go
+++ b/cmd/functionrouter/endpoints.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"log/slog"
 	"slices"
 	"time"
 
@@ -15,9 +14,8 @@
 	update := policy.EndpointUpdate{Kind: policy.FullUpdate}
 	for _, e := range list {
 		update.Endpoints = append(update.Endpoints, s.policyEndpoint(e))
-		slog.Info("endpoint updated", "worker", e.Name, "address", e.Addr, "state", e.State, "weight", e.Weight,
-			"started_unix_ms", e.Started)
 	}
+	s.endpointLog.record(list)
 	s.router.UpdateEndpoints(update)
 	present := map[policy.WorkerID]bool{}
 	for i, e := range update.Endpoints {
--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -34,6 +34,7 @@
 	discovery  *discovery.Client
 	extensions *extensions
 
+	endpointLog  endpointLog
 	housekeeping housekeeping
 	shutdown     shutdown
 }
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -56,9 +56,10 @@
 func (l *Loop) handleAccepted(c *Conn) {
 	if c.accept == nil || !l.admits() {
 		l.refusals.Add()
-		c.Close()
+		c.closeFor(OverLimit)
 		return
 	}
+	l.Accepted++
 	c.connected = true
 	c.activity.lastActivity = l.now
 	l.accepted[c] = struct{}{}
@@ -88,7 +89,7 @@
 	if victim == nil {
 		return false
 	}
-	victim.Close()
+	victim.closeFor(Evicted)
 	return true
 }
 
--- a/internal/eventloop/activity.go
+++ b/internal/eventloop/activity.go
@@ -46,18 +46,18 @@
 	}
 }
 
-// timedOut reports whether the connection has had its time. A peer with unread bytes, which reads slowly or not at
-// all, has the idle timeout even if it has sent part of a message.
-func (a *messageActivity) timedOut(now time.Duration, hasUnread bool) bool {
+// timedOut reports whether the connection has had its time, and which. A peer with unread bytes, which reads slowly or
+// not at all, has the idle timeout even if it has sent part of a message.
+func (a *messageActivity) timedOut(now time.Duration, hasUnread bool) (cause CloseCause, timedOut bool) {
 	switch {
 	case hasUnread:
-		return now-a.lastActivity > idleTimeout
+		return IdleTimeout, now-a.lastActivity > idleTimeout
 	case a.partialSince > 0:
-		return now-a.partialSince > messageTimeout
+		return MessageTimeout, now-a.partialSince > messageTimeout
 	case a.completeMessages == 0:
-		return now-a.lastActivity > messageTimeout
+		return MessageTimeout, now-a.lastActivity > messageTimeout
 	}
-	return now-a.lastActivity > idleTimeout
+	return IdleTimeout, now-a.lastActivity > idleTimeout
 }
 
 // evictionPriority orders the connections that owe no answer: the lowest is closed first to make room.
@@ -105,11 +105,13 @@
 func (l *Loop) sweep() {
 	l.lastSweep = l.now
 	for c := range l.accepted {
-		if c.activity.timedOut(l.now, c.unread.Load() > 0) && !c.hasOpenRequests() {
-			c.Close()
+		cause, timedOut := c.activity.timedOut(l.now, c.unread.Load() > 0)
+		if timedOut && !c.hasOpenRequests() {
+			c.closeFor(cause)
 		}
 	}
 	l.logRefusals()
+	l.logInterrupted()
 }
 
 // HasPartialMessages reports whether the beginning of a message has arrived on an open accepted connection, and its
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -15,9 +15,10 @@
 	accept   acceptFunc // nil on a dialed connection
 	handler  Handler    // an AcceptedHandler or a DialHandler; nil until accept has returned one
 
-	connected     bool // the handler has been told, or is about to be, that the connection is open
-	closed        bool // nothing is read or written any more: this side closed it, or its close was reported
-	closeReported bool // nbio has reported its close
+	connected     bool       // the handler has been told, or is about to be, that the connection is open
+	closed        bool       // nothing is read or written any more: this side closed it, or its close was reported
+	closeReported bool       // nbio has reported its close
+	closeCause    CloseCause // why this side closed it; valid once closed is set before closeReported
 
 	pending  [][]byte // written in this turn
 	activity messageActivity
@@ -51,6 +52,9 @@
 	l.totalUnread.Add(-c.unread.Swap(0)) // no one reads these any more
 	first := !c.closeReported
 	c.closeReported = true
+	if first && c.accept != nil {
+		l.recordClose(c, err)
+	}
 	if c.handler != nil && c.connected && first {
 		c.closed = true
 		c.handler.OnClose(err)
@@ -67,8 +71,12 @@
 
 // Close closes the connection and drops its pending writes. Its handler's OnClose is called in a later turn, if
 // the connection was ever open.
-func (c *Conn) Close() {
+func (c *Conn) Close() { c.closeFor(ClosedByHandler) }
+
+// closeFor is Close with the cause that is counted.
+func (c *Conn) closeFor(cause CloseCause) {
 	if !c.closed {
+		c.closeCause = cause
 		c.closeWithError(nil)
 	}
 }
--- /dev/null
+++ b/internal/eventloop/interrupted_log.go
@@ -0,0 +1,51 @@
+package eventloop
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"functionrouter/internal/logging"
+)
+
+// interruptedLogInterval is the least time between two log lines on connections that ended with open requests.
+const interruptedLogInterval = time.Second
+
+// interruptedLog gathers the accepted connections that ended before their requests were answered. One such end is a
+// client that gave up; many at once, or from clients that say they did not close, point at a fault here.
+type interruptedLog struct {
+	throttle  logging.Throttle
+	lastAddr  netip.AddrPort
+	lastCause CloseCause
+	lastError error
+}
+
+func newInterruptedLog() interruptedLog {
+	return interruptedLog{throttle: logging.Throttle{Interval: interruptedLogInterval}}
+}
+
+// recordClose counts the end of an accepted connection, before its handler hears of it.
+func (l *Loop) recordClose(c *Conn, err error) {
+	cause := c.closeCause
+	if !c.closed {
+		cause = causeOfError(err, ReadFailed)
+	}
+	l.Closed[cause]++
+	if c.handler == nil || !c.hasOpenRequests() {
+		return
+	}
+	l.interrupted.throttle.Add()
+	l.interrupted.lastAddr = c.RemoteAddr()
+	l.interrupted.lastCause = cause
+	l.interrupted.lastError = err
+}
+
+// logInterrupted logs how many connections ended with open requests since the last line, if any.
+func (l *Loop) logInterrupted() {
+	count, due := l.interrupted.throttle.Ready(l.now)
+	if !due {
+		return
+	}
+	slog.Info("client connections ended with open requests", "connections", count,
+		"last_address", l.interrupted.lastAddr, "last_cause", l.interrupted.lastCause, "last_error", l.interrupted.lastError)
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -53,20 +53,27 @@
 	unflushed []*Conn            // connections with pending writes
 	lastSweep time.Duration
 	refusals  logging.Throttle // connections refused for the limit on them
+
+	// Counters of accepted connections since the start.
+	Accepted uint64
+	Closed   CloseCounts
+
+	interrupted interruptedLog
 }
 
 // New returns a Loop that listens nowhere yet.
 func New(cfg Config) *Loop {
 	c := clock{start: time.Now()}
 	return &Loop{
-		cfg:       cfg,
-		clock:     c,
-		listeners: map[string]acceptFunc{},
-		bindings:  bindings{},
-		events:    newEventQueue(c, cfg.MaxQueuedBytes),
-		now:       c.now(),
-		accepted:  map[*Conn]struct{}{},
-		refusals:  logging.Throttle{Interval: refusalLogInterval},
+		cfg:         cfg,
+		clock:       c,
+		listeners:   map[string]acceptFunc{},
+		bindings:    bindings{},
+		events:      newEventQueue(c, cfg.MaxQueuedBytes),
+		now:         c.now(),
+		accepted:    map[*Conn]struct{}{},
+		refusals:    logging.Throttle{Interval: refusalLogInterval},
+		interrupted: newInterruptedLog(),
 	}
 }
 
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -41,6 +41,7 @@
 // flush writes what is pending, and closes the connection if that fails.
 func (c *Conn) flush() {
 	if err := c.writePending(); err != nil {
+		c.closeCause = causeOfError(err, WriteFailed)
 		c.closeWithError(err)
 	}
 	c.dropPending()
--- a/internal/frontend/thrift/connection.go
+++ b/internal/frontend/thrift/connection.go
@@ -128,19 +128,19 @@
 	c.closed = true
 	c.partialFrame = nil
 	for _, open := range c.openCalls {
-		open.cancel()
+		open.cancel(router.ClientDisconnected)
 	}
 }
 
 // cancel gives up the call. No answer is sent.
-func (c *call) cancel() {
+func (c *call) cancel(cause router.CancelCause) {
 	delete(c.connection.openCalls, c.sequenceID)
 	if c.finished {
 		return
 	}
 	c.finished = true
 	server := c.connection.server
-	server.router.Cancel(server.clock(), c.requestID)
+	server.router.Cancel(server.clock(), c.requestID, cause)
 }
 
 // handleMessage handles the message in a frame. An error says how it violates the protocol.
@@ -229,7 +229,7 @@
 		return err
 	}
 	if open := c.openCalls[sequenceID]; open != nil {
-		open.cancel()
+		open.cancel(router.ClientInterrupted)
 	}
 	return nil
 }
--- a/internal/frontend/thrift/server.go
+++ b/internal/frontend/thrift/server.go
@@ -22,7 +22,7 @@
 	// Reject refuses a request without routing it. Its Responder is called before Reject returns.
 	Reject(now time.Duration, r router.Request)
 	// Cancel gives up a request whose client no longer waits for the response.
-	Cancel(now time.Duration, id policy.RequestID)
+	Cancel(now time.Duration, id policy.RequestID, cause router.CancelCause)
 }
 
 // Transport is the connection to a client. A *eventloop.Conn is one.
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -8,12 +8,13 @@
 // Counters counts events since the start of the program. They never decrease.
 type Counters struct {
 	// Requests, by frontend. Each one that was received is counted once more when it ends, in one of the others.
-	Received        [frontendCount]uint64
-	Served          [frontendCount]uint64
-	Refused         [frontendCount]uint64 // by the policy, or at the deadline
-	Failed          [frontendCount]uint64
-	ClientCancelled [frontendCount]uint64
-	Rejected        [frontendCount]uint64 // refused for want of room, unseen by the policy
+	Received           [frontendCount]uint64
+	Served             [frontendCount]uint64
+	Refused            [frontendCount]uint64 // by the policy, or at the deadline
+	Failed             [frontendCount]uint64
+	ClientCancelled    [frontendCount]uint64
+	ClientDisconnected [frontendCount]uint64 // those of ClientCancelled whose connection ended
+	Rejected           [frontendCount]uint64 // refused for want of room, unseen by the policy
 
 	// Messages to workers.
 	AttemptsSent uint64
--- a/internal/router/deadline.go
+++ b/internal/router/deadline.go
@@ -40,11 +40,12 @@
 	if p.closed {
 		return
 	}
-	r.Counters.Overdue++
 	status := Refused
 	if p.mayHaveRun {
 		status = Failed
 	}
+	r.Counters.Overdue++
+	r.endLog.record(r.now, p, status.outcome(), overdueCause)
 	r.respondUnserved(id, p, Response{Status: status})
 	r.events.add(policy.ClientCancelled{Request: id})
 }
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -56,13 +56,17 @@
 }
 
 // Cancel ends a request whose client no longer waits for the answer. It does nothing if the request has ended.
-func (r *Router) Cancel(now time.Duration, id policy.RequestID) {
+func (r *Router) Cancel(now time.Duration, id policy.RequestID, cause CancelCause) {
 	r.SetNow(now)
 	p := r.requests.findOpen(id)
 	if p == nil {
 		return
 	}
 	r.Counters.ClientCancelled[p.Frontend]++
+	if cause == ClientDisconnected {
+		r.Counters.ClientDisconnected[p.Frontend]++
+		r.endLog.record(r.now, p, RequestAbandoned, cause.String())
+	}
 	r.close(id, p, RequestAbandoned)
 	r.events.add(policy.ClientCancelled{Request: id})
 }
@@ -74,6 +78,9 @@
 		return
 	}
 	r.Counters.GivenUp[reason]++
+	if resp.Status == Failed {
+		r.endLog.record(r.now, p, RequestFailed, reason.String())
+	}
 	r.respondUnserved(id, p, resp)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,7 @@
 	timers   timerQueue
 	requests requestTable
 	controls controlTable
+	endLog   endLog
 
 	// Counters may be read between two calls of Router's methods.
 	Counters Counters
@@ -50,7 +51,8 @@
 
 // New returns a Router that asks p for every decision. SetWorkerPool must be called before it is used.
 func New(p *policy.Policy, limits Limits) *Router {
-	return &Router{policy: p, limits: limits, requests: newRequestTable(), controls: newControlTable()}
+	return &Router{policy: p, limits: limits, requests: newRequestTable(), controls: newControlTable(),
+		endLog: newEndLog()}
 }
 
 // SetWorkerPool sets the pool that carries messages to workers. It is called once, before any other method.
