Reproduce the lost answers on the real process, as failing tests

Symptom: calls of well-behaved clients lose their answers beside clients that send garbage or reset, and after SIGTERM. The router runs as a process of its own on one core; 24 clients follow each call to its answer.

--- a/cmd/functionrouter/client_test.go
+++ b/cmd/functionrouter/client_test.go
@@ -59,8 +59,8 @@
 	return b
 }
 
-// callFrame is the frame of a request. It has the next sequence number.
-func (c *testClient) callFrame(class, id, body string, wait time.Duration) []byte {
+// callFrame is the frame of a request. It has the next sequence number. moreFields are names and values.
+func (c *testClient) callFrame(class, id, body string, wait time.Duration, moreFields ...string) []byte {
 	c.lastSequence++
 	headers := []string{
 		"class", class,
@@ -68,6 +68,7 @@
 		"wait", strconv.FormatInt(wait.Milliseconds(), 10),
 		"key", "7f3a9c21e0b4d655",
 	}
+	headers = append(headers, moreFields...)
 	args := []byte{thriftMap, 0, 1, thriftString, thriftString, 0, 0, 0, byte(len(headers) / 2)}
 	for _, s := range headers {
 		args = appendSized(args, s)
--- /dev/null
+++ b/cmd/functionrouter/load_clients_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// functionProperties are the figures of a small function that loads fast.
+const functionProperties = "memory_mb:128;lanes:2;load_ms:10"
+
+// clientLoad is a number of well-behaved clients, each on a goroutine of its own. It follows each call that they send
+// to its answer. A call is lost if its connection ends before the answer, if the answer is wrong, or if it comes after
+// the time that the client waits.
+type clientLoad struct {
+	t       *testing.T
+	address string
+	wait    time.Duration // that a client has for each call
+	// callsPerConnection is how many calls a client sends before it connects anew; 0: it keeps its connection.
+	callsPerConnection int
+
+	stopping  atomic.Bool
+	clients   sync.WaitGroup
+	callCount atomic.Uint64 // numbers the calls
+	answered  atomic.Int64
+	served    atomic.Int64
+
+	mu   sync.Mutex
+	lost []lostCall
+}
+
+// lostCall is a call without a valid answer.
+type lostCall struct {
+	id            string
+	at            time.Duration // since the start of the load
+	client        string        // its address, by which the router's log names it
+	callsAnswered int           // on the same connection, before it
+	reason        error
+}
+
+func (l lostCall) String() string {
+	return fmt.Sprintf("%v: call %s of %s, behind %d answered ones: %v", l.at, l.id, l.client, l.callsAnswered, l.reason)
+}
+
+// start runs count clients until stop. Their pauses are drawn from seed.
+func (l *clientLoad) start(count int, seed uint64) {
+	began := time.Now()
+	for i := range count {
+		l.clients.Add(1)
+		go func() {
+			defer l.clients.Done()
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			for !l.stopping.Load() {
+				if !l.useConnection(random, began) {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// stop lets the clients finish the calls that are open, and returns those that were lost.
+func (l *clientLoad) stop() []lostCall {
+	l.stopping.Store(true)
+	l.clients.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
+// useConnection sends calls on a new connection. It returns false if a call was lost.
+func (l *clientLoad) useConnection(random *rand.Rand, began time.Time) bool {
+	conn, err := net.Dial("tcp", l.address)
+	if err != nil {
+		l.t.Errorf("a client can't connect: %v", err)
+		return false
+	}
+	defer func() { _ = conn.Close() }() // the router may have ended it
+	client := &testClient{Conn: conn, t: l.t}
+	limit := l.callsPerConnection
+	if limit > 0 {
+		limit = 1 + random.IntN(limit)
+	}
+	for sent := 0; (limit == 0 || sent < limit) && !l.stopping.Load(); sent++ {
+		id := fmt.Sprintf("%016x", l.callCount.Add(1))
+		if err := l.call(client, id); err != nil {
+			l.mu.Lock()
+			l.lost = append(l.lost, lostCall{id, time.Since(began), conn.LocalAddr().String(), sent, err})
+			l.mu.Unlock()
+			return false
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(2 * time.Millisecond))))
+	}
+	return true
+}
+
+// call sends a call and waits for its answer. An error says how it was lost.
+func (l *clientLoad) call(client *testClient, id string) error {
+	// A little more than the wait, for a machine that is busy.
+	if err := client.SetDeadline(time.Now().Add(l.wait + 500*time.Millisecond)); err != nil {
+		return err
+	}
+	if _, err := client.Write(client.callFrame("safe", id, "body of "+id, l.wait, "props", functionProperties)); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	status, body, err := client.tryResponse()
+	if err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	l.answered.Add(1)
+	if status == "served" {
+		l.served.Add(1)
+		if !strings.HasSuffix(body, id) {
+			return fmt.Errorf("served with %q", body)
+		}
+	}
+	return nil
+}
+
+// startEchoWorker starts a worker that answers each request with its own body.
+func startEchoWorker(t *testing.T) *fakeWorker {
+	t.Helper()
+	const backlog = 128 // as a real server has it
+	w := newFakeWorker(t)
+	if err := unix.Listen(w.listenFD, backlog); err != nil {
+		t.Fatal(err)
+	}
+	w.startAccepting()
+	go func() {
+		for r := range w.requests {
+			r.respond("HIT", r.body)
+		}
+	}()
+	return w
+}
--- /dev/null
+++ b/cmd/functionrouter/lost_answers_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// pinToOneCore gives the process one core, as it has in service. The faults that these tests look for hide on several.
+func pinToOneCore(t *testing.T, process *os.Process) {
+	t.Helper()
+	var allowed unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &allowed); err != nil {
+		t.Fatal(err)
+	}
+	for cpu := range len(allowed) * 64 {
+		if !allowed.IsSet(cpu) {
+			continue
+		}
+		var one unix.CPUSet
+		one.Set(cpu)
+		if err := setAffinityOfAllThreads(process.Pid, &one); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+}
+
+// serviceSettings are further settings as a deployment has them.
+const serviceSettings = `"granularityMs":4,"limits":{"cancel":true,"dialTimeoutMs":250,"keepaliveMs":30000,"maxAttempts":3,
+ "maxOpen":20000,"maxRetryAfterMs":1000,"mayProbe":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":32},
+ "peersTotal":1,"rules":{"coldFrom":0.18,"coldMs":17000,"drainGraceMs":1000,"fallMs":1000,"fallMultiple":2},`
+
+// startPinnedRouter starts the router as a process of its own on one core, with a worker that serves all requests.
+func startPinnedRouter(t *testing.T, adaptConfig func(string) string) (h *harness, process *os.Process) {
+	t.Helper()
+	worker := startEchoWorker(t)
+	h, _ = newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
+	h.configText = adaptConfig(h.configText)
+	if err := os.WriteFile(h.configPath, []byte(h.configText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process = h.startProcess(1024)
+	pinToOneCore(t, process)
+	return h, process
+}
+
+// reportLost fails the test for each call that was lost.
+func reportLost(t *testing.T, lost []lostCall) {
+	t.Helper()
+	for _, l := range lost {
+		t.Errorf("lost at %v", l)
+	}
+}
+
+// Whatever other clients do to their connections, one that waits for its answer gets it.
+func TestCallsAreAnsweredBesideUnfriendlyPeers(t *testing.T) {
+	const playFor = 1500 * time.Millisecond
+	kinds := unfriendlyPeers
+	for _, test := range []struct {
+		name  string
+		kinds []unfriendlyPeer
+	}{
+		{"reset", kinds[:1]}, {"partial", kinds[1:2]}, {"garbage", kinds[2:3]}, {"half-close", kinds[3:4]}, {"mixed", kinds},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h, _ := startPinnedRouter(t, func(text string) string { return text })
+			clients := &clientLoad{t: t, address: h.listen, wait: 3 * time.Second, callsPerConnection: 10}
+			clients.start(24, 1)
+			peers := startPeers(t, h.listen, 16, 1, test.kinds...)
+			time.Sleep(playFor)
+			lost := clients.stop()
+			peers.stop()
+			reportLost(t, lost)
+			t.Logf("%d calls answered, %d served", clients.answered.Load(), clients.served.Load())
+			if clients.served.Load() == 0 {
+				t.Error("no call was served")
+			}
+		})
+	}
+}
+
+// After SIGTERM clients may go on sending on their open connections until the process is killed, at the earliest after
+// the longest deadline of the deployment and 0.7 s. Each call gets an answer.
+func TestCallsAreAnsweredUntilTheKill(t *testing.T) {
+	for _, test := range []struct{ name, deadlineMs string }{{"short deadlines", "300"}, {"long deadlines", "3000"}} {
+		t.Run(test.name, func(t *testing.T) {
+			h, process := startPinnedRouter(t, func(text string) string {
+				text = strings.ReplaceAll(text, `"goalTimeMs":3000`, `"goalTimeMs":200`)
+				return strings.ReplaceAll(text, `"deadlineMs":6000`, `"deadlineMs":`+test.deadlineMs)
+			})
+			deadline, err := time.ParseDuration(test.deadlineMs + "ms")
+			if err != nil {
+				t.Fatal(err)
+			}
+			clients := &clientLoad{t: t, address: h.listen, wait: deadline}
+			clients.start(24, 1)
+			time.Sleep(200 * time.Millisecond)
+			if err := process.Signal(unix.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(deadline + 700*time.Millisecond)
+			reportLost(t, clients.stop())
+			if err := process.Signal(unix.Signal(0)); err != nil {
+				t.Errorf("the process has ended: %v", err)
+			}
+		})
+	}
+}
--- a/cmd/functionrouter/process_test.go
+++ b/cmd/functionrouter/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -52,12 +53,17 @@
 func (h *harness) startProcess(descriptors int) *os.Process {
 	h.t.Helper()
 	cmd := routerCommand(h.configPath, descriptors)
+	var log bytes.Buffer
+	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
 		h.t.Fatal(err)
 	}
 	h.t.Cleanup(func() {
 		_ = cmd.Process.Kill() // a test may have killed it
 		_ = cmd.Wait()         // reports that it was killed
+		if h.t.Failed() {
+			h.t.Logf("the router's log:\n%s", log.String())
+		}
 	})
 	h.connect().checkHealth()
 	return cmd.Process
--- /dev/null
+++ b/cmd/functionrouter/unfriendly_peers_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// unfriendlyPeer opens a connection to the router and ends it at an odd moment. What it sends counts for nobody.
+type unfriendlyPeer struct {
+	name string
+	play func(t *testing.T, conn *net.TCPConn, seed uint64)
+}
+
+// peerFrame is a call of a peer's.
+func peerFrame(seed uint64) []byte {
+	id := fmt.Sprintf("%016x", seed|1<<63) // no client's
+	return (&testClient{}).callFrame("safe", id, "of nobody", time.Second, "props", functionProperties)
+}
+
+var unfriendlyPeers = []unfriendlyPeer{
+	{"reset", func(_ *testing.T, conn *net.TCPConn, seed uint64) {
+		_, _ = conn.Write(peerFrame(seed)) // the router may have closed it
+		_ = conn.SetLinger(0)              // Close sends a reset
+	}},
+	{"partial", func(_ *testing.T, conn *net.TCPConn, seed uint64) {
+		_, _ = conn.Write(peerFrame(seed)[:30])
+	}},
+	{"garbage", func(_ *testing.T, conn *net.TCPConn, _ uint64) {
+		_, _ = conn.Write([]byte("\xff\xff\xff\xff\xff\xff\xff\xff"))
+	}},
+	{"half-close", func(_ *testing.T, conn *net.TCPConn, seed uint64) {
+		_, _ = conn.Write(peerFrame(seed))
+		_ = conn.CloseWrite()
+	}},
+	{"silent", func(*testing.T, *net.TCPConn, uint64) {}},
+}
+
+// peerLoad is a number of unfriendly peers, each on a goroutine of its own.
+type peerLoad struct {
+	stopping atomic.Bool
+	peers    sync.WaitGroup
+}
+
+// startPeers runs count peers until stop. Each connection plays one of kinds, drawn from seed.
+func startPeers(t *testing.T, address string, count int, seed uint64, kinds ...unfriendlyPeer) *peerLoad {
+	t.Helper()
+	l := &peerLoad{}
+	for i := range count {
+		l.peers.Add(1)
+		go func() {
+			defer l.peers.Done()
+			random := rand.New(rand.NewPCG(seed, uint64(1000+i)))
+			for !l.stopping.Load() {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					continue
+				}
+				kinds[random.IntN(len(kinds))].play(t, conn.(*net.TCPConn), random.Uint64())
+				_ = conn.Close()
+				time.Sleep(time.Duration(random.Int64N(int64(3 * time.Millisecond))))
+			}
+		}()
+	}
+	return l
+}
+
+func (l *peerLoad) stop() {
+	l.stopping.Store(true)
+	l.peers.Wait()
+}
