--- a/cmd/functionrouter/dial_test.go
+++ b/cmd/functionrouter/dial_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
+	"net/netip"
+	"os"
+	"strings"
 	"testing"
-	"time"
 )
 
 // Members of the settings, for startHarness.
@@ -31,20 +34,44 @@
 			c := h.connect()
 			c.sendCall("unsafe", "00000000000000a1", "one")
 			c.checkHealth()
+			if connectingSockets(t, worker.addr) == 0 {
+				t.Fatal("the worker is not being dialed")
+			}
 			h.updateEndpoints(2, append([]listedWorker{{name: "s-2", addr: other.addr}}, test.after(worker.addr)...)...)
 			other.nextRequest().respond("HIT", "done")
 			c.expectStatus("served")
-			worker.startAccepting() // the dial completes
-			select {
-			case <-worker.closed:
-			case <-time.After(testTimeout):
-				t.Error("a connection that completed too late for its worker is kept")
+			if connectingSockets(t, worker.addr) > 0 {
+				t.Error("a dial that can only complete too late for its worker goes on")
 			}
+			worker.startAccepting()
 			worker.expectNoRequest()
 		})
 	}
 }
 
+// connectingSockets returns how many sockets of this machine are connecting to addr (proc(5), net/tcp).
+func connectingSockets(t *testing.T, addr string) int {
+	t.Helper()
+	const synSent = "02"
+	parsed, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ip := parsed.Addr().As4()
+	remote := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), parsed.Port())
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for line := range strings.Lines(string(table)) {
+		if fields := strings.Fields(line); len(fields) > 3 && fields[2] == remote && fields[3] == synSent {
+			count++
+		}
+	}
+	return count
+}
+
 // A dial that completes after its timeout carries nothing: its request went elsewhere at the timeout.
 func TestDialCompletesAfterTimeout(t *testing.T) {
 	worker, other := startFullWorker(t), startFakeWorker(t)
--- a/cmd/functionrouter/limits.go
+++ b/cmd/functionrouter/limits.go
@@ -6,10 +6,9 @@
 // less memory they shrink in proportion; with more they stay.
 const fullMemoryMB = 192
 
-// Bounds on what is held for peers, in bytes, at fullMemoryMB. They add up to 80 MiB of the 192, and with less memory
+// Bounds on what is held for peers, in bytes, at fullMemoryMB. They add up to 72 MiB of the 192, and with less memory
 // keep that part of it.
 const (
-	maxQueuedBytes        = 8 << 20  // read from sockets and waiting for the event loop
 	maxUnreadBytes        = 32 << 20 // written for peers that do not read
 	maxBodyBytes          = 24 << 20 // bodies of open requests
 	maxWebhookResultBytes = 16 << 20 // results kept for webhooks that are delivered again
--- a/cmd/functionrouter/limits_test.go
+++ b/cmd/functionrouter/limits_test.go
@@ -26,7 +26,7 @@
 func checkMemoryBounds(t *testing.T, c *config) {
 	t.Helper()
 	bodies, open := c.scaleToMemory(maxBodyBytes), c.maxOpenRequests()
-	held := bodies + c.scaleToMemory(maxQueuedBytes) + c.scaleToMemory(maxUnreadBytes) +
+	held := bodies + c.scaleToMemory(maxUnreadBytes) +
 		c.scaleToMemory(maxWebhookResultBytes) + open*2048
 	if held > c.Limits.MemoryMB<<20/2 || bodies < 1<<20 || open < 1000 {
 		t.Errorf("%d bytes may be held, %d of them bodies; %d requests may be open", held, bodies, open)
--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -98,8 +98,6 @@
 func (c *config) loopConfig() eventloop.Config {
 	return eventloop.Config{
 		MaxAcceptedConnections: c.maxClientConnections(),
-		MaxFileDescriptors:     c.Limits.Sockets,
-		MaxQueuedBytes:         c.scaleToMemory(maxQueuedBytes),
 		MaxUnreadBytes:         c.scaleToMemory(maxUnreadBytes),
 	}
 }
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -2,12 +2,17 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
-	"net"
+	"net/netip"
+	"slices"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// maxEvictionTries is how many connections with unread input are passed over in the search for one to evict.
+const maxEvictionTries = 8
+
 // refusalLogInterval is the least time between two log lines on refused connections: with one for each of them a
 // flood would fill the log.
 const refusalLogInterval = time.Second
@@ -15,88 +20,89 @@
 // ErrTooManyConnections is logged for connections refused beyond the limit on accepted ones.
 var ErrTooManyConnections = errors.New("too many accepted connections")
 
-// acceptFunc returns the handler of a new connection of one listener. It runs on the loop's goroutine.
-type acceptFunc func(*Conn) AcceptedHandler
-
-// Listen registers a listener on addr, a "host:port"; accept returns the handler of each of its connections.
-// Listen must be called before Start, which opens the listener.
-func (l *Loop) Listen(addr string, accept func(*Conn) AcceptedHandler) { l.listeners[addr] = accept }
-
-// Addrs returns the addresses that the loop listens on.
-func (l *Loop) Addrs() []string { return l.engine.Addrs }
-
-// bindings finds the listener of a connection by the local address that it was made to. nbio does not tell
-// which listener accepted a connection.
-type bindings map[string]acceptFunc
-
-// add enters a listener. One on all addresses is entered under its port alone, since each of its
-// connections has the address that the peer chose.
-func (b bindings) add(addr net.Addr, accept acceptFunc) {
-	if tcp, ok := addr.(*net.TCPAddr); ok && tcp.IP.IsUnspecified() {
-		b[wildcardKey(tcp)] = accept
+// admit takes a new connection in, or refuses it if there is no room and none can be made.
+func (l *Loop) admit(ln *listener, fd int, peer netip.AddrPort) {
+	if !l.hasRoom() {
+		l.refusals.Add()
+		l.Closed[OverLimit]++
+		closeDescriptor(fd)
 		return
 	}
-	b[addr.String()] = accept
-}
-
-// find returns nil if no listener is bound to addr.
-func (b bindings) find(addr net.Addr) acceptFunc {
-	if accept := b[addr.String()]; accept != nil {
-		return accept
-	}
-	if tcp, ok := addr.(*net.TCPAddr); ok {
-		return b[wildcardKey(tcp)]
-	}
-	return nil
-}
-
-func wildcardKey(addr *net.TCPAddr) string { return fmt.Sprint(addr.Port) }
-
-// handleAccepted admits a new connection, or refuses it if there is no room and none can be made.
-func (l *Loop) handleAccepted(c *Conn) {
-	if c.accept == nil || !l.admits() {
-		l.refusals.Add()
-		c.closeFor(OverLimit)
+	c := &Conn{loop: l, fd: fd, remoteAddr: peer, isAccepted: true}
+	if err := c.startPolling(unix.EPOLLIN); err != nil {
+		slog.Error("accepted connection can't be polled", "address", peer, "error", err)
+		l.Closed[OverLimit]++
+		closeDescriptor(fd)
 		return
 	}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // answers may wait for a while without it
 	l.Accepted++
+	l.accepted[c] = struct{}{}
 	c.connected = true
 	c.activity.lastActivity = l.now
-	l.accepted[c] = struct{}{}
-	c.handler = c.accept(c)
+	c.handler = ln.accept(c)
 }
 
-func (l *Loop) admits() bool {
-	return len(l.accepted) < l.cfg.MaxAcceptedConnections || l.evict()
+func (l *Loop) hasRoom() bool {
+	return len(l.accepted) < l.cfg.MaxAcceptedConnections || l.evict(anyConnection)
 }
 
-// evict makes room for a new connection by closing an accepted one that owes no answer. It returns false if
-// there is none.
+// evict makes room for a new connection by closing an accepted one that owes no answer and is eligible. It
+// returns false if there is none.
 //
 // The candidate with the lowest eviction priority goes first, and among equals the one that has been inactive for
 // longest. So connections that are opened by hundreds and stay silent displace each other, and neither those of
-// clients that have sent requests nor those whose request is on its way.
-func (l *Loop) evict() bool {
+// clients that have sent requests nor those whose request is on its way. One with unread input is passed over: a
+// request may be in it.
+func (l *Loop) evict(eligible func(*Conn) bool) bool {
+	var withInput []*Conn
+	for len(withInput) < maxEvictionTries {
+		victim := l.evictionCandidate(eligible, withInput)
+		if victim == nil {
+			return false
+		}
+		if !victim.hasInput() {
+			victim.closeFor(Evicted)
+			return true
+		}
+		withInput = append(withInput, victim)
+	}
+	return false
+}
+
+// evictionCandidate returns the next connection to be evicted, leaving out some; nil if there is none.
+func (l *Loop) evictionCandidate(eligible func(*Conn) bool, without []*Conn) *Conn {
 	var victim *Conn
 	for c := range l.accepted {
-		if c.closed || c.owesAnswer() {
+		if c.closed || c.owesAnswer() || !eligible(c) || slices.Contains(without, c) {
 			continue
 		}
 		if victim == nil || c.activity.evictsBefore(&victim.activity, l.now) {
 			victim = c
 		}
 	}
-	if victim == nil {
+	return victim
+}
+
+// anyConnection makes every connection that owes no answer eligible.
+func anyConnection(*Conn) bool { return true }
+
+// isAbandoned reports whether the client has been silent for longer than a client that is of use.
+func (c *Conn) isAbandoned() bool {
+	switch c.activity.evictionPriority(c.loop.now) {
+	case evictSilent:
+		return true
+	case evictIdle:
+		return c.loop.now-c.activity.lastActivity > abandonedAfter
+	default:
 		return false
 	}
-	victim.closeFor(Evicted)
-	return true
 }
 
 // owesAnswer reports whether an accepted connection has a request without an answer, or an answer that has
 // yet to leave: closing drops what is queued, and with it the only answer to a request.
 func (c *Conn) owesAnswer() bool {
-	return c.hasOpenRequests() || len(c.pending) > 0 || c.unread.Load() > 0
+	return c.hasOpenRequests() || c.hasUnwritten()
 }
 
 func (c *Conn) hasOpenRequests() bool {
--- a/internal/eventloop/accept_test.go
+++ b/internal/eventloop/accept_test.go
@@ -4,43 +4,38 @@
 	"errors"
 	"io"
 	"net"
-	"net/netip"
 	"syscall"
 	"testing"
 )
 
-// Guards against a listener on all addresses whose connections, each with a local address of its own, are
-// assigned to no listener.
-func TestBindingsFindListenerOfConnection(t *testing.T) {
-	found := ""
+// Each connection gets the handler of its own listener, also one on all addresses.
+func TestConnectionsFindTheirListener(t *testing.T) {
+	found := make(chan string, 1)
 	accept := func(name string) acceptFunc {
-		return func(*Conn) AcceptedHandler {
-			found = name
-			return nil
+		return func(c *Conn) AcceptedHandler {
+			found <- name
+			return &echoHandler{conn: c, closed: make(chan error, 1)}
 		}
 	}
-	addr := func(text string) net.Addr { return net.TCPAddrFromAddrPort(netip.MustParseAddrPort(text)) }
-	b := bindings{}
-	b.add(addr("127.0.0.1:80"), accept("single"))
-	b.add(addr("0.0.0.0:90"), accept("wildcard"))
-	b.add(addr("127.0.0.3:90"), accept("beside wildcard"))
-	for _, c := range []struct{ local, want string }{
-		{"127.0.0.1:80", "single"},
-		{"127.0.0.2:90", "wildcard"},
-		{"127.0.0.3:90", "beside wildcard"},
-		{"[::1]:90", "wildcard"},
+	l := New(Config{MaxAcceptedConnections: 10, MaxUnreadBytes: 1 << 20})
+	l.Listen("127.0.0.1:0", accept("single"))
+	l.Listen(":0", accept("wildcard"))
+	runLoop(t, l)
+	addrs := l.Addrs()
+	_, wildcardPort, err := net.SplitHostPort(addrs[1])
+	check(t, err)
+	for _, test := range []struct{ addr, want string }{
+		{addrs[0], "single"},
+		{"127.0.0.1:" + wildcardPort, "wildcard"},
+		{"127.0.0.2:" + wildcardPort, "wildcard"},
 	} {
-		t.Run(c.local, func(t *testing.T) {
-			if b.find(addr(c.local))(nil); found != c.want {
-				t.Errorf("got listener %q, want %q", found, c.want)
-			}
-		})
-	}
-	t.Run("unbound", func(t *testing.T) {
-		if b.find(addr("127.0.0.2:80")) != nil {
-			t.Error("another address on a bound port has a listener")
+		conn, err := net.Dial("tcp", test.addr)
+		check(t, err)
+		if got := <-found; got != test.want {
+			t.Errorf("%s: got listener %q, want %q", test.addr, got, test.want)
 		}
-	})
+		check(t, conn.Close())
+	}
 }
 
 func TestAcceptedConnectionsAreLimited(t *testing.T) {
@@ -56,7 +51,7 @@
 	if !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("a second connection beside a busy one: %v", err)
 	}
-	l.Post(func() { h.openRequests = false })
+	call(l, func() { h.openRequests = false })
 	dialLoop(t, l)
 	<-accepted // the idle one was evicted
 	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
@@ -72,7 +67,8 @@
 	l := New(Config{})
 	now := l.now
 	add := func(openRequests bool, activity messageActivity) *Conn {
-		c := &Conn{loop: l, handler: &echoHandler{openRequests: openRequests}, connected: true, activity: activity}
+		h := &echoHandler{openRequests: openRequests}
+		c := &Conn{loop: l, fd: noDescriptor, isAccepted: true, handler: h, connected: true, activity: activity}
 		l.accepted[c] = struct{}{}
 		return c
 	}
@@ -94,14 +90,14 @@
 	pendingAnswer := add(false, messageActivity{completeMessages: 1})
 	pendingAnswer.Write([]byte("answer"))
 	unreadAnswer := add(false, messageActivity{completeMessages: 1})
-	unreadAnswer.addUnread(1)
+	unreadAnswer.setUnsent([]byte("a"))
 
 	for _, c := range evictable {
-		if !l.evict() || !c.conn.closed {
+		if !l.evict(anyConnection) || !c.conn.closed {
 			t.Fatalf("the connection %q was not the next to be evicted", c.name)
 		}
 	}
-	if l.evict() || openRequests.closed || pendingAnswer.closed || unreadAnswer.closed {
+	if l.evict(anyConnection) || openRequests.closed || pendingAnswer.closed || unreadAnswer.closed {
 		t.Error("a connection that owes an answer was evicted")
 	}
 	if pendingAnswer.activity.lastActivity != now {
--- a/internal/eventloop/activity.go
+++ b/internal/eventloop/activity.go
@@ -11,6 +11,13 @@
 	// further one from its first byte on. Bytes that trickle in don't extend it.
 	messageTimeout = 2500 * time.Millisecond
 
+	// closeTimeout is how long a peer may take to read its last answers once the handler closes the connection.
+	closeTimeout = 2 * time.Second
+
+	// abandonedAfter is how long a client that has sent messages may be idle before its descriptor is taken from it
+	// while there are no others. Well-behaved clients close an idle connection themselves after 4 s.
+	abandonedAfter = 5 * time.Second
+
 	// silenceGrace is how long a client may take from its connect to its message before its connection
 	// counts as silent and is the first to be evicted.
 	silenceGrace = 250 * time.Millisecond
@@ -105,10 +112,18 @@
 func (l *Loop) sweep() {
 	l.lastSweep = l.now
 	for c := range l.accepted {
-		cause, timedOut := c.activity.timedOut(l.now, c.unread.Load() > 0)
-		if timedOut && !c.hasOpenRequests() {
-			c.closeFor(cause)
+		if c.closing && l.now-c.activity.lastActivity > closeTimeout {
+			c.closeFor(PeerNotReading)
+			continue
+		}
+		cause, timedOut := c.activity.timedOut(l.now, len(c.unsent) > 0)
+		if !timedOut || c.hasOpenRequests() {
+			continue
+		}
+		if cause == IdleTimeout && c.hasInput() {
+			continue // a request may be in it
 		}
+		c.closeFor(cause)
 	}
 	l.logRefusals()
 	l.logInterrupted()
--- a/internal/eventloop/activity_test.go
+++ b/internal/eventloop/activity_test.go
@@ -52,7 +52,7 @@
 func playUntilClosed(step, end time.Duration, receive func(h *echoHandler, at time.Duration) bool) time.Duration {
 	l := New(Config{})
 	h := &echoHandler{}
-	conn := &Conn{loop: l, handler: h, connected: true, activity: messageActivity{lastActivity: l.now}}
+	conn := &Conn{loop: l, fd: noDescriptor, isAccepted: true, handler: h, connected: true, activity: messageActivity{lastActivity: l.now}}
 	l.accepted[conn] = struct{}{}
 	start := l.now
 	for at := time.Duration(0); at < end; at += step {
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -1,90 +1,160 @@
 package eventloop
 
 import (
-	"net"
+	"io"
 	"net/netip"
-	"sync/atomic"
 
-	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
+// noDescriptor stands for a descriptor that is not open.
+const noDescriptor = -1
+
 // Conn is a TCP connection, accepted or dialed. Its methods must be called on the loop's goroutine.
 type Conn struct {
-	loop     *Loop
-	nbioConn *nbio.Conn // nil until a dial has succeeded
-	accept   acceptFunc // nil on a dialed connection
-	handler  Handler    // an AcceptedHandler or a DialHandler; nil until accept has returned one
+	loop       *Loop
+	fd         int // noDescriptor: none is open
+	token      token
+	interest   uint32  // the events that the descriptor is registered for
+	handler    Handler // an AcceptedHandler or a DialHandler
+	isAccepted bool
+	remoteAddr netip.AddrPort
+	dial       *dial // while it is being dialed
 
-	connected     bool       // the handler has been told, or is about to be, that the connection is open
-	closed        bool       // nothing is read or written any more: this side closed it, or its close was reported
-	closeReported bool       // nbio has reported its close
-	closeCause    CloseCause // why this side closed it; valid once closed is set before closeReported
+	connected  bool  // the handler has been told that the connection is open
+	calledOff  bool  // the handler has closed it
+	closed     bool  // nothing is read or written any more
+	inputEnded bool  // the peer has sent its last byte; it may still read
+	closing    bool  // it closes once all is written, and is not read any more
+	writeError error // it is read once more, and then closed
 
 	pending  [][]byte // written in this turn
+	unsent   []byte   // written in earlier turns; the kernel has yet to take it
 	activity messageActivity
+}
 
-	// unread counts the bytes handed to nbio that the kernel has yet to take. The pollers change it too.
-	unread atomic.Int64
+// RemoteAddr returns the peer's address, or the zero AddrPort if it is not known.
+func (c *Conn) RemoteAddr() netip.AddrPort { return c.remoteAddr }
+
+// startPolling registers the descriptor for events.
+func (c *Conn) startPolling(events uint32) error {
+	t, err := c.loop.poll.add(c.fd, events, c)
+	if err != nil {
+		return err
+	}
+	c.token = t
+	c.interest = events
+	return nil
 }
 
-// RemoteAddr returns the peer's address, or the zero AddrPort if it is not known. The connection must be open.
-func (c *Conn) RemoteAddr() netip.AddrPort {
-	if addr, ok := c.nbioConn.RemoteAddr().(*net.TCPAddr); ok {
-		return addr.AddrPort()
+// updateInterest registers the descriptor for what the connection waits for.
+func (c *Conn) updateInterest() {
+	var events uint32
+	if !c.inputEnded && !c.closing {
+		events |= unix.EPOLLIN
+	}
+	if len(c.unsent) > 0 {
+		events |= unix.EPOLLOUT
+	}
+	if c.closed || events == c.interest {
+		return
 	}
-	return netip.AddrPort{}
+	if err := c.loop.poll.modify(c.fd, c.token, events); err != nil {
+		c.failWrite(err)
+		return
+	}
+	c.interest = events
 }
 
-func (c *Conn) handleData(data []byte) {
-	if c.handler == nil || c.closed {
+// onEvents handles what the poller reports. A connection that broke is read all the same: what came before is in the
+// socket, and the read tells why it broke.
+func (c *Conn) onEvents(events uint32) {
+	const ended = unix.EPOLLERR | unix.EPOLLHUP
+	if c.dial != nil {
+		c.finishConnect()
 		return
 	}
-	c.handler.OnData(data)
-	if h, ok := c.handler.(AcceptedHandler); ok {
-		complete, partial := h.MessageProgress()
-		c.activity.recordProgress(complete, partial, c.loop.now)
+	if events&unix.EPOLLOUT != 0 {
+		c.writeUnsent()
+	}
+	switch {
+	case c.closed || c.writeError != nil:
+	case c.inputEnded || c.closing:
+		if events&ended != 0 {
+			c.end(c.pendingError())
+		}
+	case events&(unix.EPOLLIN|ended) != 0:
+		c.readAvailable()
+	}
+}
+
+// pendingError returns the error with which the connection broke.
+func (c *Conn) pendingError() error {
+	if err := c.loop.calls.connectResult(c.fd); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// end closes a connection that the peer or the network has ended, and tells the handler at once. It must not be called
+// while a handler runs.
+func (c *Conn) end(err error) {
+	c.shut(causeOfError(err, ReadFailed), err)
+	c.handler.OnClose(err)
+}
+
+// endLater is end for the time in which handlers run or the turn is over: the handler is told in the next turn.
+func (c *Conn) endLater(cause CloseCause, err error) {
+	c.shut(cause, err)
+	if c.connected {
+		c.loop.later(func() { c.handler.OnClose(err) })
 	}
 }
 
-// handleClosed handles nbio's report that c is closed, whichever side did it.
-func (l *Loop) handleClosed(c *Conn, err error) {
-	delete(l.accepted, c)
-	l.totalUnread.Add(-c.unread.Swap(0)) // no one reads these any more
-	first := !c.closeReported
-	c.closeReported = true
-	if first && c.accept != nil {
-		l.recordClose(c, err)
+// shut closes the descriptor and drops what is not written.
+func (c *Conn) shut(cause CloseCause, err error) {
+	if c.isAccepted {
+		c.loop.recordClose(c, cause, err)
 	}
-	if c.handler != nil && c.connected && first {
-		c.closed = true
-		c.handler.OnClose(err)
+	c.closed = true
+	c.dial = nil
+	c.dropPending()
+	c.setUnsent(nil)
+	c.closeDescriptor()
+	delete(c.loop.accepted, c)
+	delete(c.loop.dialing, c)
+	delete(c.loop.dialed, c)
+}
+
+func (c *Conn) closeDescriptor() {
+	if c.fd == noDescriptor {
+		return
 	}
+	c.loop.poll.remove(c.token)
+	closeDescriptor(c.fd)
+	c.fd = noDescriptor
 }
 
-// CloseAfterFlush writes what is pending and closes. What the kernel does not take at once is dropped.
+// CloseAfterFlush closes the connection once all that was written has left, or the peer has had its time for it. No more
+// is read.
 func (c *Conn) CloseAfterFlush() {
-	if c.canWrite() {
-		c.flush()
+	if c.closed || c.closing {
+		return
 	}
-	c.Close()
+	c.closing = true
+	c.loop.unflushed = append(c.loop.unflushed, c)
 }
 
 // Close closes the connection and drops its pending writes. Its handler's OnClose is called in a later turn, if
 // the connection was ever open.
-func (c *Conn) Close() { c.closeFor(ClosedByHandler) }
+func (c *Conn) Close() {
+	c.calledOff = true
+	c.closeFor(ClosedByHandler)
+}
 
 // closeFor is Close with the cause that is counted.
 func (c *Conn) closeFor(cause CloseCause) {
 	if !c.closed {
-		c.closeCause = cause
-		c.closeWithError(nil)
-	}
-}
-
-// closeWithError closes the connection; the handler's OnClose gets err in a later turn.
-func (c *Conn) closeWithError(err error) {
-	c.closed = true
-	if c.nbioConn != nil {
-		_ = c.nbioConn.CloseWithError(err) // nothing can be done about a descriptor that does not close
+		c.endLater(cause, nil)
 	}
 }
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -1,61 +1,174 @@
 package eventloop
 
 import (
-	"errors"
 	"fmt"
-	"net"
+	"net/netip"
+	"os"
 	"time"
 
-	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
-// Dial opens a TCP connection to addr, a "host:port", and returns at once; h.OnOpen gets the result. What is
-// written before that is dropped. Closing the Conn before that calls the dial off: h hears no more of it.
+// dialRetryInterval is the time between two attempts to open a socket while this machine can't.
+const dialRetryInterval = 10 * time.Millisecond
+
+// noDeadline stands for a time that never comes.
+const noDeadline = time.Duration(1<<63 - 1)
+
+// dial is the state of a connection that is not open yet.
+type dial struct {
+	addr      string // as asked for
+	deadline  time.Duration
+	retryAt   time.Duration // when the next socket is tried; 0: one is connecting, or the address is being resolved
+	lastError error         // of the socket before
+}
+
+// Dial opens a TCP connection to addr, a "host:port", and returns at once; h.OnOpen gets the result in a later turn. What
+// is written before that is dropped. Closing the Conn before that calls the dial off: h hears no more of it. A timeout of
+// 0 is none.
 //
-// A net.Dialer does it, on a goroutine that ends with the dial, after timeout at the latest. nbio's own DialAsync
-// doesn't serve: in 1.6.8 it reports a refused connection as open first, and leaves the write event set
-// on a connection that opens at once, on which the poller then spins.
+// While this machine lacks what a socket needs, as descriptors, ports or buffers, the dial is tried again until timeout:
+// such an error says nothing of the peer.
 func (l *Loop) Dial(addr string, timeout time.Duration, h DialHandler) *Conn {
-	c := &Conn{loop: l, handler: h}
+	c := &Conn{loop: l, fd: noDescriptor, handler: h, dial: &dial{addr: addr, deadline: noDeadline}}
+	if timeout > 0 {
+		c.dial.deadline = l.now + timeout
+	}
+	l.dialing[c] = struct{}{}
+	if literal, err := netip.ParseAddrPort(addr); err == nil {
+		c.remoteAddr = literal
+		c.connect()
+		return c
+	}
 	go func() {
-		nbioConn, err := l.connect(c, addr, timeout)
-		l.events.push(event{kind: eventDialed, conn: c, nbioConn: nbioConn, err: err})
+		resolved, err := resolveTCP(addr)
+		l.Post(func() { c.handleResolved(resolved, err) })
 	}()
 	return c
 }
 
-// connect dials addr and hands the connection to the poller. It runs on the dial's goroutine.
-func (l *Loop) connect(c *Conn, addr string, timeout time.Duration) (*nbio.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout}
-	std, err := dialer.Dial("tcp", addr)
+func (c *Conn) handleResolved(addr netip.AddrPort, err error) {
+	if c.dial == nil { // called off, or timed out
+		return
+	}
 	if err != nil {
-		return nil, err
+		c.failDial(err)
+		return
 	}
-	nbioConn, err := nbio.NBConn(std)
+	c.remoteAddr = addr
+	c.connect()
+}
+
+// connect begins to connect a new socket.
+func (c *Conn) connect() {
+	c.dial.retryAt = 0
+	domain, sockaddr := socketAddress(c.remoteAddr)
+	fd, err := c.loop.calls.socket(domain, unix.SOCK_STREAM)
 	if err != nil {
-		_ = std.Close() // the error that matters is the first one
-		return nil, fmt.Errorf("duplicate the descriptor of the connection to %s: %w", addr, err)
+		c.handleConnectError(err)
+		return
+	}
+	c.fd = fd
+	err = c.loop.calls.connect(fd, sockaddr)
+	if isOneOf(err, unix.EINPROGRESS, unix.EINTR) {
+		err = nil // the poller tells how it ends
 	}
-	nbioConn.SetSession(c)
-	if _, err := l.engine.AddConn(nbioConn); err != nil {
-		return nbioConn, fmt.Errorf("poll the connection to %s: %w", addr, err)
+	if err == nil {
+		err = c.startPolling(unix.EPOLLOUT)
+	}
+	if err != nil {
+		c.closeDescriptor()
+		c.handleConnectError(err)
 	}
-	return nbioConn, nil
 }
 
-// handleDialed handles the end of c's dial. nbioConn may be set along with an error.
-func (c *Conn) handleDialed(nbioConn *nbio.Conn, err error) {
-	c.nbioConn = nbioConn
-	if c.closed { // called off in the meantime
-		if nbioConn != nil {
-			_ = nbioConn.Close() // no one has used it
-		}
+// finishConnect handles the end of a connect that was in progress.
+func (c *Conn) finishConnect() {
+	err := c.loop.calls.connectResult(c.fd)
+	if err == nil && c.isConnectedToItself() {
+		err = unix.ECONNREFUSED
+	}
+	if err != nil {
+		c.closeDescriptor()
+		c.handleConnectError(err)
 		return
 	}
-	if c.closeReported { // the peer closed it before this turn
-		err = errors.Join(err, net.ErrClosed)
+	_ = unix.SetsockoptInt(c.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // calls may wait for a while without it
+	c.dial = nil
+	c.connected = true
+	delete(c.loop.dialing, c)
+	c.loop.dialed[c] = struct{}{}
+	c.updateInterest()
+	c.handler.(DialHandler).OnOpen(nil)
+}
+
+// isConnectedToItself reports whether the kernel has joined the socket to itself. That happens where nobody listens at a
+// port of this machine that is in the range of those it gives to sockets that dial.
+func (c *Conn) isConnectedToItself() bool {
+	if !c.remoteAddr.Addr().IsLoopback() {
+		return false
+	}
+	local, err := unix.Getsockname(c.fd)
+	return err == nil && addrPortOf(local) == c.remoteAddr
+}
+
+// handleConnectError tries again later after a fault of this machine, and ends the dial after any other.
+func (c *Conn) handleConnectError(err error) {
+	retryAt := c.loop.now + dialRetryInterval
+	if isLocalFault(err) && retryAt < c.dial.deadline {
+		c.dial.lastError = err
+		c.dial.retryAt = retryAt
+		return
+	}
+	c.failDial(err)
+}
+
+// isLocalFault reports whether a dial failed for want of something on this machine.
+func isLocalFault(err error) bool {
+	return isOneOf(err, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EADDRNOTAVAIL,
+		unix.EADDRINUSE, unix.EAGAIN, unix.ENETUNREACH, unix.ENETDOWN)
+}
+
+// failDial ends the dial. The handler hears of it in the next turn.
+func (c *Conn) failDial(err error) {
+	wrapped := fmt.Errorf("dial %s: %w", c.dial.addr, err)
+	c.shut(ClosedByHandler, wrapped)
+	c.loop.later(func() {
+		if !c.calledOff {
+			c.handler.(DialHandler).OnOpen(wrapped)
+		}
+	})
+}
+
+// checkDials tries those dials again whose pause is over, and ends those whose time is.
+func (l *Loop) checkDials() {
+	for c := range l.dialing {
+		switch {
+		case l.now >= c.dial.deadline:
+			err := c.dial.lastError
+			if err == nil {
+				err = os.ErrDeadlineExceeded
+			}
+			c.failDial(err)
+		case c.dial.retryAt > 0 && l.now >= c.dial.retryAt:
+			c.connect()
+		}
+	}
+}
+
+// nextCheck returns when a dial or a listener needs a turn.
+func (l *Loop) nextCheck() time.Duration {
+	next := noDeadline
+	for c := range l.dialing {
+		next = min(next, c.dial.deadline)
+		if c.dial.retryAt > 0 {
+			next = min(next, c.dial.retryAt)
+		}
+	}
+	for _, ln := range l.listeners {
+		if ln.paused {
+			next = min(next, ln.resumeAt)
+		}
 	}
-	c.connected = err == nil
-	c.closed = err != nil
-	c.handler.(DialHandler).OnOpen(err)
+	return next
 }
--- /dev/null
+++ b/internal/eventloop/faults_test.go
@@ -0,0 +1,241 @@
+package eventloop
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// faultyCalls are system calls that fail as a test says.
+type faultyCalls struct {
+	kernelCalls
+	mu sync.Mutex
+	// The errors that the next calls end with, in order; then they succeed.
+	socketErrors, connectErrors, acceptErrors, waitErrors []error
+	// random, where set, makes reads and writes fail for a moment or fall short.
+	random *rand.Rand
+}
+
+func takeError(f *faultyCalls, errs *[]error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(*errs) == 0 {
+		return nil
+	}
+	err := (*errs)[0]
+	*errs = (*errs)[1:]
+	return err
+}
+
+func (f *faultyCalls) socket(domain, socketType int) (int, error) {
+	if err := takeError(f, &f.socketErrors); err != nil {
+		return -1, err
+	}
+	return f.kernelCalls.socket(domain, socketType)
+}
+
+func (f *faultyCalls) connect(fd int, addr unix.Sockaddr) error {
+	if err := takeError(f, &f.connectErrors); err != nil {
+		return err
+	}
+	return f.kernelCalls.connect(fd, addr)
+}
+
+func (f *faultyCalls) accept(listener int) (int, unix.Sockaddr, error) {
+	if err := takeError(f, &f.acceptErrors); err != nil {
+		return -1, nil, err
+	}
+	return f.kernelCalls.accept(listener)
+}
+
+func (f *faultyCalls) wait(poller int, events []unix.EpollEvent, timeoutMs int) (int, error) {
+	if err := takeError(f, &f.waitErrors); err != nil {
+		return -1, err
+	}
+	return f.kernelCalls.wait(poller, events, timeoutMs)
+}
+
+// passingError returns an error for one call in four, and nil for the others.
+func (f *faultyCalls) passingError() error {
+	if f.random == nil {
+		return nil
+	}
+	return []error{unix.EINTR, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM, 11: nil}[f.random.IntN(12)]
+}
+
+func (f *faultyCalls) read(fd int, b []byte) (int, error) {
+	if err := f.passingError(); err != nil {
+		return -1, err
+	}
+	if f.random != nil {
+		b = b[:1+f.random.IntN(len(b))]
+	}
+	return f.kernelCalls.read(fd, b)
+}
+
+func (f *faultyCalls) write(fd int, bufs [][]byte) (int, error) {
+	if err := f.passingError(); err != nil {
+		return -1, err
+	}
+	if f.random != nil {
+		first := bufs[0]
+		return f.kernelCalls.write(fd, [][]byte{first[:min(len(first), 1+f.random.IntN(1000))]})
+	}
+	return f.kernelCalls.write(fd, bufs)
+}
+
+// startFaultyLoop runs a loop of echoes over calls.
+func startFaultyLoop(t *testing.T, calls *faultyCalls) *Loop {
+	t.Helper()
+	l := New(Config{MaxAcceptedConnections: 10, MaxUnreadBytes: 32 << 20})
+	l.calls = calls
+	l.Listen("127.0.0.1:0", func(c *Conn) AcceptedHandler {
+		return &echoHandler{conn: c, times: 1, closed: make(chan error, 1)}
+	})
+	runLoop(t, l)
+	return l
+}
+
+// Whatever accept(2) fails with, the connection that waits is accepted in the end.
+func TestAcceptErrors(t *testing.T) {
+	for _, err := range []unix.Errno{
+		unix.EINTR, unix.ECONNABORTED, unix.EPROTO, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPERM,
+		unix.ENETDOWN, unix.EHOSTUNREACH, unix.ENETUNREACH, unix.ETIMEDOUT,
+	} {
+		t.Run(unix.ErrnoName(err), func(t *testing.T) {
+			l := startFaultyLoop(t, &faultyCalls{acceptErrors: []error{err, err, err}})
+			client := dialLoop(t, l)
+			write(t, client, []byte("request"))
+			got := make([]byte, len("request|"))
+			if _, err := io.ReadFull(client, got); err != nil || string(got) != "request|" {
+				t.Errorf("read %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// A dial that fails for want of something on this machine is tried again; the peer is not blamed.
+func TestDialIsRetriedAfterLocalFaults(t *testing.T) {
+	for _, err := range []unix.Errno{
+		unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.EAGAIN, unix.ENETUNREACH,
+	} {
+		t.Run(unix.ErrnoName(err), func(t *testing.T) {
+			calls := &faultyCalls{}
+			l := startFaultyLoop(t, calls)
+			calls.mu.Lock()
+			calls.socketErrors = []error{err}
+			calls.connectErrors = []error{err, err}
+			calls.mu.Unlock()
+			r := newDialRecorder()
+			l.Post(func() { l.Dial(l.Addrs()[0], testTimeout, r) })
+			check(t, <-r.opened)
+		})
+	}
+}
+
+// While the fault lasts, the dial ends at its timeout, with the fault as its reason.
+func TestDialEndsWithLocalFault(t *testing.T) {
+	calls := &faultyCalls{}
+	l := startFaultyLoop(t, calls)
+	calls.mu.Lock()
+	for range 1000 {
+		calls.socketErrors = append(calls.socketErrors, unix.ENFILE)
+	}
+	calls.mu.Unlock()
+	r := newDialRecorder()
+	l.Post(func() { l.Dial(l.Addrs()[0], 50*time.Millisecond, r) })
+	if err := <-r.opened; !errors.Is(err, unix.ENFILE) {
+		t.Errorf("the dial ended with %v", err)
+	}
+}
+
+// An interrupted connect goes on; it must not be begun again.
+func TestInterruptedConnect(t *testing.T) {
+	l := New(Config{})
+	check(t, l.Start())
+	t.Cleanup(l.closeDescriptors)
+	peer := startFaultyLoop(t, &faultyCalls{})
+	l.calls = &interruptedConnect{}
+	r := newDialRecorder()
+	l.Dial(peer.Addrs()[0], testTimeout, r)
+	for len(r.opened) == 0 {
+		l.poll.dispatch(l.poll.wait(time.Second))
+		l.runDeferred()
+	}
+	check(t, <-r.opened)
+}
+
+// interruptedConnect begins a connect and reports that a signal came.
+type interruptedConnect struct{ kernelCalls }
+
+func (c *interruptedConnect) connect(fd int, addr unix.Sockaddr) error {
+	_ = c.kernelCalls.connect(fd, addr) // in progress
+	return unix.EINTR
+}
+
+// Waits that a signal interrupts lose nothing.
+func TestInterruptedWaits(t *testing.T) {
+	calls := &faultyCalls{}
+	for range 100 {
+		calls.waitErrors = append(calls.waitErrors, unix.EINTR)
+	}
+	l := startFaultyLoop(t, calls)
+	client := dialLoop(t, l)
+	write(t, client, []byte("request"))
+	if _, err := io.ReadFull(client, make([]byte, len("request|"))); err != nil {
+		t.Error(err)
+	}
+}
+
+// Short reads and writes, and calls that fail for a moment, leave every byte in its place.
+func TestShortAndFailingCallsLoseNothing(t *testing.T) {
+	for seed := range uint64(5) {
+		calls := &faultyCalls{random: rand.New(rand.NewPCG(seed, 0))}
+		l := startFaultyLoop(t, calls)
+		client := dialLoop(t, l)
+		text := bytes.Repeat([]byte("0123456789"), 20000)
+		go func() { _, _ = client.Write(text) }() // the reader sees what is missing
+		var got []byte
+		for buf := make([]byte, 4096); len(bytes.ReplaceAll(got, []byte("|"), nil)) < len(text); {
+			n, err := client.Read(buf)
+			got = append(got, buf[:n]...)
+			if err != nil {
+				t.Fatalf("seed %d: after %d bytes: %v", seed, len(got), err)
+			}
+		}
+		if !bytes.Equal(bytes.ReplaceAll(got, []byte("|"), nil), text) {
+			t.Errorf("seed %d: the bytes differ", seed)
+		}
+	}
+}
+
+// A worker that answers and resets at once: the write after its reset fails, and its answer is read all the same.
+func TestAnswerBeforeResetIsRead(t *testing.T) {
+	l := New(Config{})
+	check(t, l.Start())
+	t.Cleanup(l.closeDescriptors)
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	check(t, err)
+	h := &recordingHandler{received: make(chan string, 10)}
+	c := &Conn{loop: l, fd: fds[0], handler: h, connected: true}
+	check(t, c.startPolling(unix.EPOLLIN))
+	l.dialed[c] = struct{}{}
+	_, err = unix.Write(fds[1], []byte("answer"))
+	check(t, err)
+	closeDescriptor(fds[1])
+	c.Write([]byte("next call"))
+	l.flush()
+	l.runDeferred()
+	if got := h.next(t); got != "answer" {
+		t.Errorf("received %q", got)
+	}
+	if got := h.next(t); got != closeRecord {
+		t.Errorf("received %q", got)
+	}
+}
--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -17,6 +17,7 @@
 	openRequests     bool
 	completeMessages int
 	partialMessage   bool
+	inputEnded       chan struct{} // where set, receives a value at the end of input
 	closed           chan error
 }
 
@@ -25,7 +26,12 @@
 		h.conn.Write(b, nil, []byte("|"))
 	}
 }
-func (h *echoHandler) OnClose(err error)            { h.closed <- err }
+func (h *echoHandler) OnClose(err error) { h.closed <- err }
+func (h *echoHandler) OnEndOfInput() {
+	if h.inputEnded != nil {
+		h.inputEnded <- struct{}{}
+	}
+}
 func (h *echoHandler) HasOpenRequests() bool        { return h.openRequests }
 func (h *echoHandler) MessageProgress() (int, bool) { return h.completeMessages, h.partialMessage }
 
@@ -34,8 +40,6 @@
 	t.Helper()
 	l := New(Config{
 		MaxAcceptedConnections: maxAccepted,
-		MaxFileDescriptors:     256,
-		MaxQueuedBytes:         8 << 20,
 		MaxUnreadBytes:         32 << 20,
 	})
 	l.Listen("127.0.0.1:0", accept)
--- a/internal/eventloop/interrupted_log.go
+++ b/internal/eventloop/interrupted_log.go
@@ -25,13 +25,9 @@
 }
 
 // recordClose counts the end of an accepted connection, before its handler hears of it.
-func (l *Loop) recordClose(c *Conn, err error) {
-	cause := c.closeCause
-	if !c.closed {
-		cause = causeOfError(err, ReadFailed)
-	}
+func (l *Loop) recordClose(c *Conn, cause CloseCause, err error) {
 	l.Closed[cause]++
-	if c.handler == nil || !c.hasOpenRequests() {
+	if !c.hasOpenRequests() {
 		return
 	}
 	l.interrupted.throttle.Add()
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -1,25 +1,18 @@
-// Package eventloop joins nbio's pollers to the one goroutine that owns all state.
+// Package eventloop runs non-blocking sockets on one goroutine.
 //
-// Three kinds of goroutines work here:
+// The goroutine in Run, "the loop's goroutine", owns all state. It alone waits for events, accepts, reads, writes and
+// closes. In each turn it calls the handlers of the connections that have events, calls the end-of-turn function once,
+// and then writes what the turn produced, in one gathered write for each connection. No other goroutine touches a
+// descriptor, so that none is closed while another uses it, and an event never reaches the connection that was given a
+// closed one's descriptor: events carry tokens that are used once (see poller).
 //
-//   - nbio's poller and acceptors, which run from Start to the end of the process. Their callbacks only copy
-//     what happened into the event queue.
-//   - one goroutine for each dial, and one for each UDP socket. They queue events as well, and end as Dial and
-//     DialUDP describe.
-//   - the goroutine in Run, "the loop's goroutine". It takes the queued events, calls the handlers of the
-//     connections, calls the end-of-turn function once, and then writes what the turn produced, in one gathered
-//     write for each connection. All fields of Loop, Conn and UDPConn belong to it unless they say otherwise,
-//     and so does the state of all handlers.
-//
-// The package depends on the behaviour of nbio 1.6.8 in several places; the comments there say on what.
+// Only Post may be called on other goroutines. All fields of Loop, Conn and UDPConn belong to the loop's goroutine, and so
+// does the state of all handlers.
 package eventloop
 
 import (
-	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"functionrouter/internal/logging"
 )
 
@@ -29,36 +22,38 @@
 // Config bounds a Loop.
 type Config struct {
 	MaxAcceptedConnections int // accepted connections at once
-	MaxFileDescriptors     int // descriptors of the process
-	MaxQueuedBytes         int // received bytes that wait for the loop; beyond it no connection is read
 	MaxUnreadBytes         int // bytes that all peers together may leave unread
 }
 
-// Loop owns nbio's engine, the event queue and the accepted connections. Create one with New. Post may be called
-// on any goroutine, Listen and Start before Run, and all other methods on the loop's goroutine.
+// Loop owns the poller, the listeners and the connections. Create one with New. Post may be called on any goroutine,
+// Listen and Start before Run, and all other methods on the loop's goroutine.
 type Loop struct {
-	cfg       Config
-	clock     clock
-	engine    *nbio.Engine
-	listeners map[string]acceptFunc // by the address asked for; not changed after Start
-	bindings  bindings              // not changed after Start
-	events    *eventQueue
-
-	// totalUnread counts the bytes that all peers have yet to take. The pollers change it too.
-	totalUnread atomic.Int64
-
-	now       time.Duration // of the present turn
-	stopped   bool
-	accepted  map[*Conn]struct{} // until their close is reported
-	unflushed []*Conn            // connections with pending writes
-	lastSweep time.Duration
-	refusals  logging.Throttle // connections refused for the limit on them
+	cfg   Config
+	clock clock
+	calls systemCalls
+	poll  *poller // nil before Start
+	posts postQueue
+
+	listeners []*listener
+	accepted  map[*Conn]struct{}
+	dialing   map[*Conn]struct{}
+	dialed    map[*Conn]struct{} // open ones
+	datagram  map[*UDPConn]struct{}
+
+	now         time.Duration // of the present turn
+	stopped     bool
+	deferred    []func() // for the next turn
+	running     []func() // the deferred calls of this turn; the array is reused
+	unflushed   []*Conn  // with pending writes, or with an end that follows their last write
+	totalUnread int      // bytes that all peers have yet to take
+	readBuffer  []byte   // shared by all sockets
+	lastSweep   time.Duration
+	refusals    logging.Throttle // connections refused for the limit on them
+	interrupted interruptedLog
 
 	// Counters of accepted connections since the start.
 	Accepted uint64
 	Closed   CloseCounts
-
-	interrupted interruptedLog
 }
 
 // New returns a Loop that listens nowhere yet.
@@ -67,65 +62,115 @@
 	return &Loop{
 		cfg:         cfg,
 		clock:       c,
-		listeners:   map[string]acceptFunc{},
-		bindings:    bindings{},
-		events:      newEventQueue(c, cfg.MaxQueuedBytes),
-		now:         c.now(),
+		calls:       kernelCalls{},
 		accepted:    map[*Conn]struct{}{},
+		dialing:     map[*Conn]struct{}{},
+		dialed:      map[*Conn]struct{}{},
+		datagram:    map[*UDPConn]struct{}{},
+		now:         c.now(),
+		readBuffer:  make([]byte, readBufferSize),
 		refusals:    logging.Throttle{Interval: refusalLogInterval},
 		interrupted: newInterruptedLog(),
 	}
 }
 
+// Start opens the listeners. The error says which address can't be listened on.
+func (l *Loop) Start() error {
+	poll, err := newPoller(l.calls)
+	if err != nil {
+		return err
+	}
+	l.poll = poll
+	for _, listener := range l.listeners {
+		if err := listener.open(); err != nil {
+			l.closeDescriptors()
+			return err
+		}
+	}
+	return nil
+}
+
 // Now returns the time of the present turn, on the loop's monotonic clock.
 func (l *Loop) Now() time.Duration { return l.now }
 
 // TimeFromUnix converts a wall-clock time to the loop's clock.
 func (l *Loop) TimeFromUnix(t time.Time) time.Duration { return l.clock.fromWallTime(t) }
 
-// Post schedules call on the loop's goroutine. It never blocks and may be called on any goroutine.
-func (l *Loop) Post(call func()) { l.events.push(event{kind: eventCall, call: call}) }
+// Post schedules call on the loop's goroutine. It never blocks and may be called on any goroutine, after Start. A call
+// that is posted once Run has returned is not made.
+func (l *Loop) Post(call func()) {
+	l.posts.add(call, l.poll)
+}
+
+// later schedules call for the next turn, on the loop's goroutine.
+func (l *Loop) later(call func()) { l.deferred = append(l.deferred, call) }
 
-// Run handles events until Stop. In each turn it calls beginTurn with the time, then the handlers of what has
-// happened, then endTurn, which returns the time at which it wants to be called again at the latest.
+// Run handles events until Stop, and then closes all descriptors. In each turn it calls beginTurn with the time, then the
+// handlers of what has happened, then endTurn, which returns the time at which it wants to be called again at the latest.
 func (l *Loop) Run(beginTurn func(now time.Duration), endTurn func(now time.Duration) time.Duration) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	var batch []event
+	var posted []func()
+	next := l.now
 	for !l.stopped {
-		select {
-		case <-l.events.wake:
-		case <-timer.C:
-		}
-		batch, l.now = l.events.take(batch)
+		events := l.poll.wait(l.timeUntil(next))
+		l.now = l.clock.now()
 		beginTurn(l.now)
-		for i := range batch {
-			l.handle(&batch[i])
-			batch[i] = event{} // its data must not live as long as the array
-		}
-		next := endTurn(l.now)
+		l.runDeferred()
+		posted = l.runPosted(posted)
+		l.poll.dispatch(events)
+		l.checkDials()
+		l.resumeAccepting()
+		next = min(endTurn(l.now), l.nextCheck(), l.now+sweepInterval)
 		l.flush()
 		if l.now-l.lastSweep > sweepInterval {
 			l.sweep()
 		}
-		timer.Reset(max(min(next, l.now+sweepInterval)-l.clock.now(), 0))
 	}
+	l.posts.close()
+	l.closeDescriptors()
+}
+
+// timeUntil returns how long the poller may wait for a turn that is due at next.
+func (l *Loop) timeUntil(next time.Duration) time.Duration {
+	if len(l.deferred) > 0 {
+		return 0
+	}
+	return max(next-l.clock.now(), 0)
+}
+
+// runDeferred makes the calls that were deferred to this turn. What they defer waits for the next one.
+func (l *Loop) runDeferred() {
+	l.running, l.deferred = l.deferred, l.running[:0]
+	for i, call := range l.running {
+		call()
+		l.running[i] = nil
+	}
+}
+
+// runPosted makes the calls that other goroutines have posted. It returns their array, for the next turn.
+func (l *Loop) runPosted(spare []func()) []func() {
+	batch := l.posts.take(spare)
+	for i, call := range batch {
+		call()
+		batch[i] = nil
+	}
+	return batch
 }
 
 // Stop makes Run return after the present turn.
 func (l *Loop) Stop() { l.stopped = true }
 
-func (l *Loop) handle(e *event) {
-	switch e.kind {
-	case eventData:
-		e.conn.handleData(e.data)
-	case eventAccepted:
-		l.handleAccepted(e.conn)
-	case eventClosed:
-		l.handleClosed(e.conn, e.err)
-	case eventDialed:
-		e.conn.handleDialed(e.nbioConn, e.err)
-	case eventCall:
-		e.call()
+// closeDescriptors closes all that the loop has open.
+func (l *Loop) closeDescriptors() {
+	for _, listener := range l.listeners {
+		listener.close()
+	}
+	for _, connections := range []map[*Conn]struct{}{l.accepted, l.dialing, l.dialed} {
+		for c := range connections {
+			c.closeDescriptor()
+		}
+	}
+	for c := range l.datagram {
+		c.closeDescriptor()
 	}
+	l.poll.close()
 }
--- /dev/null
+++ b/internal/eventloop/poller_test.go
@@ -0,0 +1,80 @@
+package eventloop
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// countingPollable counts its events, and runs onEvent at the first.
+type countingPollable struct {
+	events  int
+	onEvent func()
+}
+
+func (p *countingPollable) onEvents(uint32) {
+	p.events++
+	if p.onEvent != nil {
+		p.onEvent()
+		p.onEvent = nil
+	}
+}
+
+// readableSocket returns a descriptor with a byte to read.
+func readableSocket(t *testing.T) int {
+	t.Helper()
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	check(t, err)
+	t.Cleanup(func() { closeDescriptor(fds[1]) })
+	_, err = unix.Write(fds[1], []byte("x"))
+	check(t, err)
+	return fds[0]
+}
+
+// Two descriptors have events in one batch. The handler of the first closes the second and opens a new connection, which
+// gets the same descriptor: the old one's event must not reach it.
+func TestEventsDoNotOutliveTheirConnection(t *testing.T) {
+	p, err := newPoller(kernelCalls{})
+	check(t, err)
+	t.Cleanup(p.close)
+	fds := [2]int{readableSocket(t), readableSocket(t)}
+	var receivers [2]countingPollable
+	var tokens [2]token
+	for i := range fds {
+		tokens[i], err = p.add(fds[i], unix.EPOLLIN, &receivers[i])
+		check(t, err)
+	}
+	var successor countingPollable
+	for i := range fds { // whichever comes first in the batch
+		other := 1 - i
+		receivers[i].onEvent = func() {
+			p.remove(tokens[other])
+			check(t, unix.Dup3(readableSocket(t), fds[other], unix.O_CLOEXEC)) // closes the old one
+			_, err := p.add(fds[other], unix.EPOLLIN, &successor)
+			check(t, err)
+		}
+	}
+	events := p.wait(time.Second)
+	if len(events) != 2 {
+		t.Fatalf("%d events in the batch", len(events))
+	}
+	p.dispatch(events)
+	if receivers[0].events+receivers[1].events != 1 || successor.events != 0 {
+		t.Errorf("the old connections received %d and %d events, the new one %d",
+			receivers[0].events, receivers[1].events, successor.events)
+	}
+	p.dispatch(p.wait(time.Second))
+	if successor.events != 1 {
+		t.Errorf("the new connection received %d events of its own", successor.events)
+	}
+}
+
+// A call that is posted while the loop ends is not made, and touches no descriptor that is closed by then.
+func TestPostAfterTheEnd(t *testing.T) {
+	l := New(Config{})
+	check(t, l.Start())
+	l.Post(l.Stop)
+	l.Run(func(time.Duration) {}, func(now time.Duration) time.Duration { return now + time.Hour })
+	l.Post(func() { t.Error("called") })
+}
--- /dev/null
+++ b/internal/eventloop/read_test.go
@@ -0,0 +1,152 @@
+package eventloop
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// recordingHandler passes on what it receives, in order.
+type recordingHandler struct{ received chan string }
+
+const closeRecord = "closed"
+
+func (h *recordingHandler) OnData(b []byte)              { h.received <- string(b) }
+func (h *recordingHandler) OnClose(error)                { h.received <- closeRecord }
+func (h *recordingHandler) OnEndOfInput()                {}
+func (h *recordingHandler) HasOpenRequests() bool        { return false }
+func (h *recordingHandler) MessageProgress() (int, bool) { return 1, false }
+
+// next returns what h received next.
+func (h *recordingHandler) next(t *testing.T) string {
+	t.Helper()
+	select {
+	case received := <-h.received:
+		return received
+	case <-time.After(testTimeout):
+		t.Fatal("nothing was received in time")
+		return ""
+	}
+}
+
+// While the loop is busy no connection is read. A close in the meantime, of the connection that has sent much or of
+// another, is reported as soon as the loop goes on, behind what was sent before it.
+func TestCloseIsReportedBehindItsData(t *testing.T) {
+	handlers := []*recordingHandler{{make(chan string, 1000)}, {make(chan string, 1000)}}
+	accepted := make(chan struct{})
+	count := 0
+	l := startLoop(t, 10, func(*Conn) AcceptedHandler {
+		h := handlers[count]
+		count++
+		accepted <- struct{}{}
+		return h
+	})
+	sender := dialLoop(t, l)
+	<-accepted
+	silent := dialLoop(t, l)
+	<-accepted
+
+	blocked := make(chan struct{})
+	unblock := make(chan struct{})
+	l.Post(func() {
+		close(blocked)
+		<-unblock
+	})
+	<-blocked
+	text := bytes.Repeat([]byte("x"), (maxReadsPerTurn+1)*readBufferSize) // more than one turn reads
+	written := make(chan error, 1)
+	go func() { // the kernel may not take all of it before the loop reads
+		_, err := sender.Write(text)
+		written <- errors.Join(err, sender.Close())
+	}()
+	check(t, silent.Close())
+	close(unblock)
+
+	size := 0
+	for received := ""; received != closeRecord; {
+		received = handlers[0].next(t)
+		if received != closeRecord {
+			size += len(received)
+		}
+	}
+	check(t, <-written)
+	if size != len(text) {
+		t.Errorf("the close was reported after %d bytes of %d", size, len(text))
+	}
+	if received := handlers[1].next(t); received != closeRecord {
+		t.Errorf("the silent connection received %q", received)
+	}
+}
+
+// A client that has sent its last byte still gets its answer; then the connection ends. One that is owed nothing ends at
+// once.
+func TestHalfClosedClientIsAnswered(t *testing.T) {
+	for _, owed := range []bool{true, false} {
+		h := &echoHandler{openRequests: owed, closed: make(chan error, 1), inputEnded: make(chan struct{}, 1)}
+		l := startLoop(t, 10, func(c *Conn) AcceptedHandler {
+			h.conn = c
+			return h
+		})
+		client := dialLoop(t, l)
+		check(t, client.CloseWrite())
+		<-h.inputEnded
+		if owed {
+			l.Post(func() {
+				h.conn.Write([]byte("answer"))
+				h.openRequests = false
+			})
+		}
+		got, err := io.ReadAll(client)
+		if err != nil || owed && string(got) != "answer" {
+			t.Errorf("owed an answer: %v: read %q, %v", owed, got, err)
+		}
+		if err := <-h.closed; !errors.Is(err, io.EOF) {
+			t.Errorf("closed with %v", err)
+		}
+	}
+}
+
+// A connection that breaks while a half-closed client waits is reported.
+func TestHalfClosedClientThatResets(t *testing.T) {
+	h := &echoHandler{openRequests: true, closed: make(chan error, 1), inputEnded: make(chan struct{}, 1)}
+	l := startLoop(t, 10, func(*Conn) AcceptedHandler { return h })
+	client := dialLoop(t, l)
+	check(t, client.CloseWrite())
+	<-h.inputEnded
+	check(t, client.SetLinger(0))
+	check(t, client.Close())
+	if err := <-h.closed; !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		t.Errorf("closed with %v", err)
+	}
+}
+
+// A request that has come and is not read yet keeps its connection: another one makes room.
+func TestConnectionWithUnreadInputIsNotEvicted(t *testing.T) {
+	handlers := make(chan *echoHandler, 3)
+	l := startLoop(t, 2, func(c *Conn) AcceptedHandler {
+		h := &echoHandler{conn: c, times: 1, completeMessages: 1, closed: make(chan error, 1)}
+		handlers <- h
+		return h
+	})
+	first, second := dialLoop(t, l), dialLoop(t, l)
+	<-handlers
+	<-handlers
+	call(l, func() { // the loop reads nothing meanwhile
+		if _, err := first.Write([]byte("request")); err != nil {
+			t.Error(err)
+		}
+		if !l.evict(anyConnection) {
+			t.Error("nothing was evicted")
+		}
+	})
+	got := make([]byte, len("request|"))
+	if _, err := io.ReadFull(first, got); err != nil || string(got) != "request|" {
+		t.Errorf("the client with a request read %q, %v", got, err)
+	}
+	if _, err := second.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle client: %v", err)
+	}
+}
--- a/internal/eventloop/udp.go
+++ b/internal/eventloop/udp.go
@@ -1,98 +1,134 @@
 package eventloop
 
 import (
-	"bytes"
+	"errors"
+	"fmt"
 	"net"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
 )
 
-// maxDatagramSize is above the largest UDP payload that IPv4 carries, so that none is truncated. In bytes.
-const maxDatagramSize = 64 << 10
+// maxDatagramsPerTurn is how many datagrams one socket is read in one turn.
+const maxDatagramsPerTurn = 16
 
 // UDPConn is a connected UDP socket. Its methods must be called on the loop's goroutine.
 type UDPConn struct {
-	socket  net.Conn // nil until the dial has succeeded
+	loop    *Loop
+	fd      int // noDescriptor: none is open
+	token   token
 	handler DialHandler
+	opened  bool // the handler has been told
 	closed  bool
 }
 
-// DialUDP opens a connected UDP socket to addr, a "host:port", and returns at once; h.OnOpen gets the result.
-// Closing the UDPConn before that calls the dial off: h hears no more of it.
-//
-// A goroutine of its own dials the socket and reads it, since nbio 1.6.8 panics on a UDP socket whose local address
-// the system does not tell. It ends with the first error of the socket, and so at the latest once Close has
-// closed it. No one closes the sockets that are open when Run returns: they end with the process.
+// DialUDP opens a connected UDP socket to addr, a "host:port", and returns at once; h.OnOpen gets the result in a later
+// turn. Closing the UDPConn before that calls the dial off: h hears no more of it.
 func (l *Loop) DialUDP(addr string, h DialHandler) *UDPConn {
-	c := &UDPConn{handler: h}
+	c := &UDPConn{loop: l, fd: noDescriptor, handler: h}
+	if literal, err := netip.ParseAddrPort(addr); err == nil {
+		l.later(func() { c.open(literal, nil) })
+		return c
+	}
 	go func() {
-		socket, err := net.Dial("udp", addr)
-		l.Post(func() { c.handleOpen(socket, err) })
-		if err == nil {
-			l.readDatagrams(c, socket)
-		}
-	}()
-	return c
-}
-
-// readDatagrams queues what socket receives until its first error. It runs on the socket's goroutine.
-func (l *Loop) readDatagrams(c *UDPConn, socket net.Conn) {
-	buf := make([]byte, maxDatagramSize)
-	for {
-		n, err := socket.Read(buf)
+		resolved, err := net.ResolveUDPAddr("udp", addr)
 		if err != nil {
-			l.Post(func() { c.handleClose(err) })
+			l.Post(func() { c.open(netip.AddrPort{}, fmt.Errorf("resolve %s: %w", addr, err)) })
 			return
 		}
-		datagram := bytes.Clone(buf[:n])
-		l.events.push(event{kind: eventCall, data: datagram, call: func() { c.handleData(datagram) }})
-	}
+		l.Post(func() { c.open(resolved.AddrPort(), nil) })
+	}()
+	return c
 }
 
-func (c *UDPConn) handleOpen(socket net.Conn, err error) {
+// open opens the socket, unless its address could not be resolved, and tells the handler.
+func (c *UDPConn) open(addr netip.AddrPort, err error) {
 	if c.closed { // called off in the meantime
-		if err == nil {
-			_ = socket.Close() // no one has used it
-		}
 		return
 	}
 	if err == nil {
-		c.socket = socket
+		err = c.connect(addr)
 	}
-	c.closed = err != nil
-	c.handler.OnOpen(err)
+	if err != nil {
+		c.closed = true
+		c.handler.OnOpen(err)
+		return
+	}
+	c.opened = true
+	c.handler.OnOpen(nil)
 }
 
-func (c *UDPConn) handleData(datagram []byte) {
-	if !c.closed {
-		c.handler.OnData(datagram)
+func (c *UDPConn) connect(addr netip.AddrPort) error {
+	domain, sockaddr := socketAddress(addr)
+	fd, err := c.loop.calls.socket(domain, unix.SOCK_DGRAM)
+	if err != nil {
+		return fmt.Errorf("open a UDP socket: %w", err)
+	}
+	if err := c.loop.calls.connect(fd, sockaddr); err != nil {
+		closeDescriptor(fd)
+		return fmt.Errorf("connect a UDP socket to %s: %w", addr, err)
 	}
+	if c.token, err = c.loop.poll.add(fd, unix.EPOLLIN, c); err != nil {
+		closeDescriptor(fd)
+		return fmt.Errorf("poll the UDP socket to %s: %w", addr, err)
+	}
+	c.fd = fd
+	c.loop.datagram[c] = struct{}{}
+	return nil
 }
 
-// handleClose handles the end of the reader. err is an ICMP error, of a port without a listener for one, or
-// net.ErrClosed after Close.
-func (c *UDPConn) handleClose(err error) {
-	if c.socket == nil { // called off while dialing
-		return
+// onEvents reads what has come. An error, as an ICMP message of a port without a listener, ends the socket.
+func (c *UDPConn) onEvents(uint32) {
+	buffer := c.loop.readBuffer
+	for range maxDatagramsPerTurn {
+		n, err := c.loop.calls.read(c.fd, buffer)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil && isTransient(err):
+			return
+		case err != nil:
+			c.closed = true
+			c.closeDescriptor()
+			c.handler.OnClose(err)
+			return
+		}
+		c.handler.OnData(buffer[:n])
+		if c.closed {
+			return
+		}
 	}
-	c.closed = true
-	_ = c.socket.Close() // it has failed or is closed already
-	c.handler.OnClose(err)
 }
 
 // Write sends each buffer as one datagram. An error is not reported: a datagram that can't be sent is lost, as any may
 // be on its way.
 func (c *UDPConn) Write(bufs ...[]byte) {
-	if c.closed || c.socket == nil {
+	if c.closed || !c.opened {
 		return
 	}
 	for _, b := range bufs {
-		_, _ = c.socket.Write(b) // lost
+		_, _ = c.loop.calls.write(c.fd, [][]byte{b}) // lost
 	}
 }
 
 // Close closes the socket. The handler's OnClose is called in a later turn, if the socket was ever open.
 func (c *UDPConn) Close() {
+	if c.closed {
+		return
+	}
 	c.closed = true
-	if c.socket != nil {
-		_ = c.socket.Close() // it may be closed already
+	c.closeDescriptor()
+	if c.opened {
+		c.loop.later(func() { c.handler.OnClose(net.ErrClosed) })
+	}
+}
+
+func (c *UDPConn) closeDescriptor() {
+	if c.fd == noDescriptor {
+		return
 	}
+	c.loop.poll.remove(c.token)
+	closeDescriptor(c.fd)
+	c.fd = noDescriptor
+	delete(c.loop.datagram, c)
 }
--- a/internal/eventloop/udp_test.go
+++ b/internal/eventloop/udp_test.go
@@ -35,7 +35,7 @@
 // exchangeDatagrams makes a new loop send a datagram to peer, receive the answer, and close the socket.
 func exchangeDatagrams(t *testing.T, peer net.PacketConn, addr string) {
 	t.Helper()
-	l := New(Config{MaxFileDescriptors: 256, MaxQueuedBytes: 8 << 20})
+	l := New(Config{})
 	runLoop(t, l)
 	h := newUDPHandler()
 	var c *UDPConn
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -2,19 +2,27 @@
 
 import (
 	"errors"
-	"syscall"
+	"io"
+
+	"golang.org/x/sys/unix"
 )
 
-// maxWriteVectors is the most buffers in one gathered write. The kernel takes 1,024 (IOV_MAX).
-const maxWriteVectors = 512
+const (
+	// maxWriteVectors is the most buffers in one gathered write. The kernel takes 1,024 (IOV_MAX).
+	maxWriteVectors = 512
+
+	// maxConnUnreadBytes is how much is kept for one peer that reads slowly: 32 answers of 16 KiB and their heads. A
+	// connection on which more is written is closed.
+	maxConnUnreadBytes = 640 << 10
+)
 
-// errPeerNotReading closes a connection whose peer leaves bytes unread while all peers together leave too many.
+// errPeerNotReading closes a connection whose peer leaves too many bytes unread, by itself or with all others.
 var errPeerNotReading = errors.New("peer does not read")
 
 // Write queues buffers until the end of the turn; the caller must not change them before. On a closed
 // connection they are dropped.
 func (c *Conn) Write(bufs ...[]byte) {
-	if c.closed {
+	if c.closed || c.closing || c.writeError != nil {
 		return
 	}
 	if len(c.pending) == 0 {
@@ -27,24 +35,24 @@
 // flush writes what the turn has queued on all connections.
 func (l *Loop) flush() {
 	for _, c := range l.unflushed {
-		if c.canWrite() {
+		if !c.closed {
 			c.flush()
-		} else {
-			c.dropPending()
 		}
 	}
+	clear(l.unflushed)
 	l.unflushed = l.unflushed[:0]
 }
 
-func (c *Conn) canWrite() bool { return c.connected && !c.closed }
-
-// flush writes what is pending, and closes the connection if that fails.
+// flush writes what is pending, and closes a connection whose last bytes have left.
 func (c *Conn) flush() {
-	if err := c.writePending(); err != nil {
-		c.closeCause = causeOfError(err, WriteFailed)
-		c.closeWithError(err)
+	if c.connected && c.writeError == nil {
+		c.writePending()
 	}
 	c.dropPending()
+	if c.writeError == nil {
+		c.updateInterest()
+		c.closeIfDone()
+	}
 }
 
 // dropPending forgets what is pending, and keeps its array for the next turn.
@@ -53,83 +61,128 @@
 	c.pending = c.pending[:0]
 }
 
-// writePending writes what is pending in as few system calls as possible.
-func (c *Conn) writePending() error {
-	for rest := c.pending; len(rest) > 0; {
-		bufs := rest[:min(len(rest), maxWriteVectors)]
-		rest = rest[len(bufs):]
-		written, err := c.writeVectored(bufs)
-		if err != nil {
-			return err
-		}
-		if err := c.writeRest(bufs, written); err != nil {
-			return err
-		}
-	}
-	if c.unread.Load() > 0 && c.loop.totalUnread.Load() > int64(c.loop.cfg.MaxUnreadBytes) {
-		return errPeerNotReading
+// closeIfDone closes the connection if it only waited for its last bytes to leave.
+func (c *Conn) closeIfDone() {
+	switch {
+	case c.closed || c.hasUnwritten():
+	case c.closing:
+		c.closeFor(ClosedByHandler)
+	case c.inputEnded && !c.hasOpenRequests():
+		c.endLater(ClosedByPeer, io.EOF)
 	}
-	return nil
 }
 
-// writeVectored writes bufs by one system call and returns how many bytes the kernel took; writeRest has to follow.
-//
-// It leaves all to writeRest where bytes are still waiting for the peer. nbio's Writev calls OnWrittenSize only if
-// the kernel takes a part of the buffers, and behind waiting bytes it returns the same count whether the buffers
-// were written or kept, so that the unread bytes could not be counted.
-func (c *Conn) writeVectored(bufs [][]byte) (written int, err error) {
-	if len(bufs) <= 1 || c.unread.Load() > 0 {
-		return 0, nil
+// hasUnwritten reports whether bytes wait to be taken by the kernel.
+func (c *Conn) hasUnwritten() bool { return len(c.pending) > 0 || len(c.unsent) > 0 }
+
+// writePending writes what is pending, and keeps what the kernel does not take.
+func (c *Conn) writePending() {
+	rest := c.pending
+	if len(c.unsent) == 0 {
+		var err error
+		if rest, err = c.writeBuffers(rest); err != nil {
+			c.failWrite(err)
+			return
+		}
 	}
-	size := 0
-	for _, b := range bufs {
-		size += len(b)
+	if len(rest) == 0 {
+		return
 	}
-	written, err = c.nbioConn.Writev(bufs)
-	if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
-		return 0, err
+	unsent := c.unsent
+	for _, b := range rest {
+		unsent = append(unsent, b...)
 	}
-	written = max(written, 0)
-	if written < size {
-		c.addUnread(written) // OnWrittenSize has already subtracted them
+	c.setUnsent(unsent)
+	if len(unsent) > maxConnUnreadBytes || c.loop.totalUnread > c.loop.cfg.MaxUnreadBytes {
+		c.failWrite(errPeerNotReading)
 	}
-	return written, nil
 }
 
-// writeRest hands to nbio what writeVectored left of bufs, of which the kernel took the first written bytes.
-//
-// After a short write nbio's Writev keeps only the rest of the buffer in which it ended, and drops the buffers
-// behind it; if the kernel takes nothing, it keeps nothing. Its Write keeps all that the kernel does not take.
-func (c *Conn) writeRest(bufs [][]byte, written int) error {
-	for _, b := range bufs {
-		if written >= len(b) {
-			written -= len(b)
+// writeBuffers writes bufs in as few system calls as possible, and returns those that the kernel did not take. It changes
+// the slice, not the bytes.
+func (c *Conn) writeBuffers(bufs [][]byte) (rest [][]byte, err error) {
+	for len(bufs) > 0 {
+		n, err := c.loop.calls.write(c.fd, bufs[:min(len(bufs), maxWriteVectors)])
+		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		if written > 0 { // Writev has kept the rest of this one
-			c.addUnread(len(b) - written)
-			written = 0
-			continue
+		if err != nil && !isTransient(err) {
+			return nil, err
 		}
-		c.addUnread(len(b))
-		if _, err := c.nbioConn.Write(b); err != nil {
-			return err
+		if n <= 0 {
+			return bufs, nil
 		}
+		bufs = skipBytes(bufs, n)
 	}
-	return nil
+	return nil, nil
 }
 
-// addUnread adds n to the bytes that the peer has yet to take. It is safe for concurrent use.
-func (c *Conn) addUnread(n int) {
-	c.unread.Add(int64(n))
-	c.loop.totalUnread.Add(int64(n))
+// skipBytes returns bufs without their first n bytes.
+func skipBytes(bufs [][]byte, n int) [][]byte {
+	for len(bufs) > 0 && n >= len(bufs[0]) {
+		n -= len(bufs[0])
+		bufs = bufs[1:]
+	}
+	if n > 0 {
+		bufs[0] = bufs[0][n:]
+	}
+	return bufs
+}
+
+// writeUnsent writes what earlier turns have left.
+func (c *Conn) writeUnsent() {
+	if c.closed || c.writeError != nil || len(c.unsent) == 0 {
+		return
+	}
+	rest, err := c.writeBuffers([][]byte{c.unsent})
+	if err != nil {
+		c.failWrite(err)
+		return
+	}
+	if len(rest) == 0 {
+		c.setUnsent(nil)
+	} else {
+		c.setUnsent(rest[0])
+	}
+	c.updateInterest()
+	c.closeIfDone()
+}
+
+// setUnsent sets the bytes that the kernel has yet to take.
+func (c *Conn) setUnsent(unsent []byte) {
+	c.loop.totalUnread += len(unsent) - len(c.unsent)
+	c.unsent = unsent
+}
+
+// failWrite ends a connection that can't be written to. Its peer may have sent something before it went, as a worker its
+// answers: that is read first, in the next turn.
+func (c *Conn) failWrite(err error) {
+	if c.closed || c.writeError != nil {
+		return
+	}
+	c.writeError = err
+	c.setUnsent(nil)
+	c.loop.later(c.endAfterWriteError)
+}
+
+func (c *Conn) endAfterWriteError() {
+	if c.closed {
+		return
+	}
+	if !c.inputEnded && !c.closing {
+		c.readUpTo(maxReadsAtEnd)
+	}
+	if !c.closed {
+		c.shut(causeOfError(c.writeError, WriteFailed), c.writeError)
+		c.handler.OnClose(c.writeError)
+	}
 }
 
 // UnreadBytes returns how many bytes the peers of accepted connections have yet to take, pending writes included.
 func (l *Loop) UnreadBytes() int {
 	sum := 0
 	for c := range l.accepted {
-		sum += int(c.unread.Load())
+		sum += len(c.unsent)
 		for _, b := range c.pending {
 			sum += len(b)
 		}
--- a/internal/eventloop/write_test.go
+++ b/internal/eventloop/write_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 // startEchoLoop runs a loop whose connections answer with so many copies of what they receive, through a small
@@ -12,7 +14,7 @@
 	t.Helper()
 	h := &echoHandler{times: copies, completeMessages: 1, closed: make(chan error, 1)}
 	l := startLoop(t, 10, func(c *Conn) AcceptedHandler {
-		if err := c.nbioConn.SetWriteBuffer(4 << 10); err != nil {
+		if err := unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, 4<<10); err != nil {
 			t.Error(err)
 		}
 		h.conn = c
@@ -21,8 +23,7 @@
 	return l, h
 }
 
-// Guards against nbio's Writev, which drops the buffers behind a short write: a reader that starts
-// late, so that the socket fills, still gets every byte in order.
+// A reader that starts late, so that the socket fills and writes fall short, still gets every byte in order.
 func TestShortWritesLoseNothing(t *testing.T) {
 	l, h := startEchoLoop(t, 3000)
 	client := dialLoop(t, l)
@@ -38,7 +39,7 @@
 	if _, err := io.ReadFull(client, got); err != nil || !bytes.Equal(got, want) {
 		t.Errorf("the bytes differ; read error: %v", err)
 	}
-	// The poller may still have to count its last write.
+	// The loop may still have to count its last write.
 	for unread := 1; unread != 0; {
 		call(l, func() { unread = l.UnreadBytes() })
 	}
--- a/internal/frontend/thrift/connection.go
+++ b/internal/frontend/thrift/connection.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
+	"slices"
 
 	"functionrouter/internal/router"
 	"functionrouter/policy"
@@ -114,22 +117,41 @@
 	return b, nil
 }
 
-// closeForViolation closes the connection of a client that broke the protocol.
+// closeForViolation closes the connection of a client that broke the protocol. The calls that were read before that are
+// answered.
 func (c *connection) closeForViolation(err error) {
 	c.server.logViolation(err)
-	c.transport.Close()
-	c.release()
+	c.OnEndOfInput()
+	c.transport.CloseAfterFlush()
+}
+
+// OnEndOfInput gives all open calls up, and answers them: a client that has closed its side may still read.
+func (c *connection) OnEndOfInput() {
+	c.stopReceiving()
+	server := c.server
+	for _, open := range c.callsInOrder() {
+		server.router.Disconnect(server.clock(), open.requestID)
+	}
 }
 
 // OnClose cancels all open calls: nobody waits for their answers.
-func (c *connection) OnClose(error) { c.release() }
+func (c *connection) OnClose(error) {
+	c.stopReceiving()
+	for _, open := range c.callsInOrder() {
+		open.cancel(router.ClientDisconnected)
+	}
+}
 
-func (c *connection) release() {
+func (c *connection) stopReceiving() {
 	c.closed = true
 	c.partialFrame = nil
-	for _, open := range c.openCalls {
-		open.cancel(router.ClientDisconnected)
-	}
+}
+
+// callsInOrder returns the open calls in the order in which they came.
+func (c *connection) callsInOrder() []*call {
+	return slices.SortedFunc(maps.Values(c.openCalls), func(a, b *call) int {
+		return cmp.Compare(a.sequenceID, b.sequenceID)
+	})
 }
 
 // cancel gives up the call. No answer is sent.
--- a/internal/frontend/thrift/harness_test.go
+++ b/internal/frontend/thrift/harness_test.go
@@ -28,7 +28,7 @@
 	}
 }
 
-func (f *fakeTransport) Close() { f.closed = true }
+func (f *fakeTransport) CloseAfterFlush() { f.closed = true }
 
 // fakeRouter keeps the requests that it is handed. The ID of a submitted request is its position, counted from 1.
 type fakeRouter struct {
@@ -51,6 +51,11 @@
 	f.cancelled = append(f.cancelled, id)
 }
 
+func (f *fakeRouter) Disconnect(_ time.Duration, id policy.RequestID) {
+	f.cancelled = append(f.cancelled, id)
+	f.submitted[id-1].Responder.Respond(router.Response{Status: router.Refused})
+}
+
 // newTestConnection returns the connection of a client between a fake router and a fake transport.
 func newTestConnection() (*connection, *fakeRouter, *fakeTransport) {
 	requests, transport := &fakeRouter{}, &fakeTransport{}
--- a/internal/frontend/thrift/server.go
+++ b/internal/frontend/thrift/server.go
@@ -23,14 +23,16 @@
 	Reject(now time.Duration, r router.Request)
 	// Cancel gives up a request whose client no longer waits for the response.
 	Cancel(now time.Duration, id policy.RequestID, cause router.CancelCause)
+	// Disconnect gives up a request whose client sends nothing more. Its Responder is called before Disconnect returns.
+	Disconnect(now time.Duration, id policy.RequestID)
 }
 
 // Transport is the connection to a client. A *eventloop.Conn is one.
 type Transport interface {
 	// Write sends bufs in order and takes them over.
 	Write(bufs ...[]byte)
-	// Close closes the connection.
-	Close()
+	// CloseAfterFlush closes the connection once all that was written has left. No more is received.
+	CloseAfterFlush()
 }
 
 // Server serves Thrift clients.
--- a/internal/frontend/webhook/connection.go
+++ b/internal/frontend/webhook/connection.go
@@ -61,6 +61,9 @@
 	c.handleBuffered()
 }
 
+// OnEndOfInput says that the client sends nothing more. The response that it is owed is written all the same.
+func (c *connection) OnEndOfInput() { c.closesNext = true }
+
 // OnClose ends the connection. A pending call goes on: the sender of the delivery gets its outcome with a redelivery.
 func (c *connection) OnClose(error) { c.finish() }
 
--- a/internal/frontend/webhook/testserver_test.go
+++ b/internal/frontend/webhook/testserver_test.go
@@ -101,7 +101,7 @@
 	t.Helper()
 	s := &testServer{
 		fakeWorkers: newTestRouter(t, runs),
-		loop:        eventloop.New(eventloop.Config{MaxAcceptedConnections: 50, MaxFileDescriptors: 1024}),
+		loop:        eventloop.New(eventloop.Config{MaxAcceptedConnections: 50}),
 		loopDone:    make(chan struct{}),
 	}
 	var err error
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -71,6 +71,22 @@
 	r.events.add(policy.ClientCancelled{Request: id})
 }
 
+// Disconnect ends a request whose client sends nothing more. The client may have gone, so that nothing is done for it any
+// more; or it may still read, so that it is answered all the same.
+func (r *Router) Disconnect(now time.Duration, id policy.RequestID) {
+	r.SetNow(now)
+	p := r.requests.findOpen(id)
+	if p == nil {
+		return
+	}
+	resp := Response{Status: Refused, RetryAfter: r.limits.RetryAfter, MayHaveRun: p.mayHaveRun || p.openAttempts > 0}
+	if resp.MayHaveRun {
+		resp.Status = Failed
+	}
+	p.Responder.Respond(resp)
+	r.Cancel(now, id, ClientDisconnected)
+}
+
 // giveUp answers a request that the policy gave up, if it is still open.
 func (r *Router) giveUp(id policy.RequestID, reason policy.GiveUpReason, resp Response) {
 	p := r.requests.findOpen(id)
