Stay until the clients have closed after SIGTERM, and answer every request before the earliest kill

Symptom: with 24 clients that go on sending after SIGTERM, 19 to 24 lost a call within 15 ms of 0.75 s; the process had ended. Cause: advanceShutdown stopped the loop at the end of the grace period as soon as no request was open, while connections were. What then comes on them is lost, and nobody listens for a second try. Beside it, a request whose client waits for longer than the deployment's longest deadline could still be open at the kill. Change: the loop stops when no client has been connected for 0.2 s; until then calls are refused at once. The grace period is 0.65 s. What the shutdown waits for is logged.

--- a/cmd/functionrouter/harness_test.go
+++ b/cmd/functionrouter/harness_test.go
@@ -25,7 +25,8 @@
 	log           *logCapture
 	reloadResults chan error // of each SIGHUP
 	exited        chan struct{}
-	exitError     error // set when exited is closed
+	clients       []*testClient // that have connected
+	exitError     error         // set when exited is closed
 }
 
 // listedWorker is a worker as the directory lists it.
@@ -160,10 +161,19 @@
 	h.waitForExit()
 }
 
-// waitForExit waits until the router has ended, which must be without an error.
+// waitForExit closes all clients' connections, for which a router that shuts down waits, and waits until the router has
+// ended, which must be without an error.
 func (h *harness) waitForExit() {
 	h.t.Helper()
 	select {
+	case <-h.exited:
+		h.t.Error("the router has ended before its clients have closed")
+	default:
+	}
+	for _, c := range h.clients {
+		_ = c.Close() // a test may have closed it
+	}
+	select {
 	case <-h.exited:
 		if h.exitError != nil {
 			h.t.Error(h.exitError)
@@ -179,7 +189,9 @@
 	for deadline := time.Now().Add(testTimeout); ; {
 		conn, err := net.Dial("tcp", h.listen)
 		if err == nil {
-			return newTestClient(h.t, conn)
+			c := newTestClient(h.t, conn)
+			h.clients = append(h.clients, c)
+			return c
 		}
 		select {
 		case <-h.exited:
--- a/cmd/functionrouter/limits.go
+++ b/cmd/functionrouter/limits.go
@@ -74,8 +74,7 @@
 	return min(c.transport.Limits.MaxOpenRequests, c.Limits.MemoryMB*openRequestsPerMB)
 }
 
-// flushTimeout is how long after SIGTERM slow clients may take to read their answers or to send the rest of a request,
-// and notices may take to be delivered.
+// flushTimeout is how long after SIGTERM requests may last and notices may take to be delivered.
 func (c *config) flushTimeout() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range c.policy.Classes {
--- a/cmd/functionrouter/lost_answers_test.go
+++ b/cmd/functionrouter/lost_answers_test.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// expectExit waits until the process has ended, which must be by itself and without an error.
+func expectExit(t *testing.T, process *os.Process) {
+	t.Helper()
+	state, err := process.Wait()
+	if err != nil || !state.Success() {
+		t.Errorf("the process ended with %v, %v", state, err)
+	}
+}
+
 // Whatever other clients do to their connections, one that waits for its answer gets it.
 func TestCallsAreAnsweredBesideUnfriendlyPeers(t *testing.T) {
 	const playFor = 1500 * time.Millisecond
@@ -99,14 +108,48 @@
 			clients := &clientLoad{t: t, address: h.listen, wait: deadline}
 			clients.start(24, 1)
 			time.Sleep(200 * time.Millisecond)
-			if err := process.Signal(unix.SIGTERM); err != nil {
-				t.Fatal(err)
+			for _, s := range []os.Signal{unix.SIGTERM, unix.SIGHUP, unix.SIGTERM, unix.SIGINT, unix.SIGUSR1} {
+				if err := process.Signal(s); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(10 * time.Millisecond)
 			}
 			time.Sleep(deadline + 700*time.Millisecond)
 			reportLost(t, clients.stop())
-			if err := process.Signal(unix.Signal(0)); err != nil {
-				t.Errorf("the process has ended: %v", err)
-			}
+			expectExit(t, process) // since its clients have closed
 		})
 	}
 }
+
+// A worker hangs, and a client has more time than the platform leaves the process after SIGTERM: the call is answered
+// before the earliest kill.
+func TestHangingCallIsAnsweredBeforeTheKill(t *testing.T) {
+	worker := startFakeWorker(t) // answers nothing
+	h, _ := newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
+	text := strings.ReplaceAll(h.configText, `"goalTimeMs":3000`, `"goalTimeMs":200`)
+	text = strings.ReplaceAll(text, `"deadlineMs":6000`, `"deadlineMs":300`)
+	if err := os.WriteFile(h.configPath, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process := h.startProcess(1024)
+	before, after := h.connect(), h.connect()
+	before.sendCall("unsafe", "00000000000000a1", "before SIGTERM")
+	worker.nextRequest()
+	start := time.Now()
+	if err := process.Signal(unix.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for after.checkHealth() { // until the router knows of the signal
+	}
+	after.sendCall("safe", "00000000000000a2", "after SIGTERM")
+	before.expectStatus("failed")
+	if status, _ := after.response(); status == "served" {
+		t.Error("a worker that hangs served a call")
+	}
+	if took := time.Since(start); took >= time.Second { // 0.3 s and 0.7 s
+		t.Errorf("the calls were answered %v after SIGTERM", took)
+	}
+	before.close()
+	after.close()
+	expectExit(t, process)
+}
--- a/cmd/functionrouter/process_test.go
+++ b/cmd/functionrouter/process_test.go
@@ -65,7 +65,9 @@
 			h.t.Logf("the router's log:\n%s", log.String())
 		}
 	})
-	h.connect().checkHealth()
+	c := h.connect()
+	c.checkHealth()
+	c.close()
 	return cmd.Process
 }
 
--- a/cmd/functionrouter/shutdown.go
+++ b/cmd/functionrouter/shutdown.go
@@ -1,40 +1,75 @@
 package main
 
-import "time"
+import (
+	"log/slog"
+	"time"
+)
 
 const (
-	// shutdownGracePeriod is how long after SIGTERM new requests are still accepted. Clients connect for 0.4 s
-	// more, and send requests on open connections for another 0.2 s; what came within 0.7 s must be answered.
-	shutdownGracePeriod = 750 * time.Millisecond
+	// shutdownGracePeriod is how long after SIGTERM new requests are still routed. Clients connect for 0.4 s more, and
+	// send requests on open connections for another 0.2 s. Later requests are refused.
+	shutdownGracePeriod = 650 * time.Millisecond
+
+	// shutdownQuietPeriod is how long no client may have been connected before a server that shuts down ends: one that
+	// has just connected may still wait to be accepted.
+	shutdownQuietPeriod = 200 * time.Millisecond
 
 	// shutdownCheckInterval is how often, at least, a server that shuts down checks whether it is done.
 	shutdownCheckInterval = 10 * time.Millisecond
+
+	// shutdownLogInterval is the time between two log lines on what a shutdown waits for.
+	shutdownLogInterval = time.Second
 )
 
-// shutdown is the state of a graceful shutdown.
+// shutdown is the state of a graceful shutdown. All times are on the loop's clock.
 type shutdown struct {
-	startedAt    time.Duration // on the loop's clock; 0 before it begins
+	startedAt    time.Duration // 0 before it begins
+	lastClientAt time.Duration // when a client was last connected
+	lastLogAt    time.Duration // when it was last logged what is waited for
 	flushTimeout time.Duration // see config.flushTimeout
 }
 
 // begun reports whether the server is shutting down.
 func (s *shutdown) begun() bool { return s.startedAt > 0 }
 
-// advanceShutdown stops the loop once the grace period is over and every request has its answer. From the end of the
-// grace period on, the router refuses new requests. Answers that clients have not read, messages that have come in
-// part and notices that are not delivered are waited for until the flush timeout.
+// beginShutdown starts the graceful shutdown. No request may last until the platform kills the process, whatever its
+// client's time.
+func (s *server) beginShutdown(now time.Duration) {
+	s.shutdown.startedAt = now
+	s.shutdown.lastClientAt = now
+	s.shutdown.lastLogAt = now
+	s.router.BeginShutdown(now, now+s.shutdown.flushTimeout)
+}
+
+// advanceShutdown stops the loop once the grace period is over, all clients have closed their connections and the notices
+// are delivered or have had their time. Until then clients may go on sending: from the end of the grace period on, the
+// router refuses their requests. It closes no connection by itself: a request may be on its way, and there would be
+// nobody to send it to again.
 func (s *server) advanceShutdown(now time.Duration) {
 	elapsed := now - s.shutdown.startedAt
 	s.router.Draining = elapsed >= shutdownGracePeriod
-	if !s.router.Draining || s.router.OpenRequests() > 0 {
+	if s.loop.AcceptedConnections() > 0 {
+		s.shutdown.lastClientAt = now
+	}
+	if !s.router.Draining || now-s.shutdown.lastClientAt < shutdownQuietPeriod {
+		s.logShutdown(now)
 		return
 	}
-	if s.flushed() || elapsed >= s.shutdown.flushTimeout {
+	noticesDone := s.extensions.openNotices() == 0 || elapsed >= s.shutdown.flushTimeout
+	if s.router.OpenRequests() == 0 && noticesDone {
 		s.loop.Stop()
+		return
 	}
+	s.logShutdown(now)
 }
 
-// flushed reports whether nothing is left to be sent, and no request has come in part.
-func (s *server) flushed() bool {
-	return s.loop.UnreadBytes() == 0 && !s.loop.HasPartialMessages() && s.extensions.openNotices() == 0
+// logShutdown logs what the shutdown waits for, when a line is due.
+func (s *server) logShutdown(now time.Duration) {
+	if now-s.shutdown.lastLogAt < shutdownLogInterval {
+		return
+	}
+	s.shutdown.lastLogAt = now
+	slog.Info("shutdown waits", "elapsed", now-s.shutdown.startedAt, "connections", s.loop.AcceptedConnections(),
+		"open_requests", s.router.OpenRequests(), "unread_bytes", s.loop.UnreadBytes(),
+		"partial_messages", s.loop.HasPartialMessages(), "open_notices", s.extensions.openNotices())
 }
--- a/cmd/functionrouter/signals.go
+++ b/cmd/functionrouter/signals.go
@@ -75,6 +75,6 @@
 	if sig == syscall.SIGUSR1 || s.shutdown.begun() {
 		return
 	}
-	s.shutdown.startedAt = s.loop.Now()
+	s.beginShutdown(s.loop.Now())
 	slog.Info("shutdown started", "signal", sig.String())
 }
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -43,6 +43,9 @@
 	c.handler = ln.accept(c)
 }
 
+// AcceptedConnections returns how many accepted connections are open.
+func (l *Loop) AcceptedConnections() int { return len(l.accepted) }
+
 func (l *Loop) hasRoom() bool {
 	return len(l.accepted) < l.cfg.MaxAcceptedConnections || l.evict(anyConnection)
 }
--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -109,3 +109,24 @@
 		t.Errorf("given up: %v", r.Counters.GivenUp)
 	}
 }
+
+// Once the process shuts down, no request may last until it is killed: neither one that is open nor a later one.
+func TestShutdownBoundsDeadlines(t *testing.T) {
+	r, workers := newTestRouter(t, 1)
+	addReadyWorkers(r, 1)
+	_, before := submit(r, notIdempotentClass)
+	r.Process(testStart)
+	const latest = testStart + 200*ms
+	r.BeginShutdown(testStart, latest)
+	_, after := submit(r, notIdempotentClass)
+	if next := r.Process(testStart); next > latest {
+		t.Errorf("the router wants to be called at %v, after %v", next, latest)
+	}
+	r.Process(latest)
+	for _, responder := range []*recordingResponder{before, after} {
+		responder.only(t)
+	}
+	if r.OpenRequests() != 0 || len(workers.openAttempts) != 0 {
+		t.Errorf("%d requests are open, and the attempts %v", r.OpenRequests(), workers.openAttempts)
+	}
+}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -25,6 +25,7 @@
 		return 0
 	}
 	req.ReceivedAt = r.now
+	req.Deadline = r.limitDeadline(req.Deadline)
 	id := r.requests.add(req)
 	r.events.add(policy.RequestArrived{
 		Request:     id,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,8 @@
 	requests requestTable
 	controls controlTable
 	endLog   endLog
+	// latestDeadline bounds the deadlines of all requests; 0: it does not. See BeginShutdown.
+	latestDeadline time.Duration
 
 	// Counters may be read between two calls of Router's methods.
 	Counters Counters
--- /dev/null
+++ b/internal/router/shutdown.go
@@ -0,0 +1,24 @@
+package router
+
+import "time"
+
+// BeginShutdown makes latest the deadline of all requests that would have a later one, open ones and those that are yet
+// to come: the process may be killed soon after.
+func (r *Router) BeginShutdown(now, latest time.Duration) {
+	r.SetNow(now)
+	r.latestDeadline = latest
+	for id, p := range r.requests.byID {
+		if !p.closed && p.Deadline > latest {
+			p.Deadline = latest
+			r.timers.schedule(latest, timer{kind: requestDeadline, attempt: AttemptID{Request: id}})
+		}
+	}
+}
+
+// limitDeadline returns the deadline of a new request that asks for this one.
+func (r *Router) limitDeadline(deadline time.Duration) time.Duration {
+	if r.latestDeadline == 0 {
+		return deadline
+	}
+	return min(deadline, r.latestDeadline)
+}
