Send nothing for a client that has gone, and tell workers the time that is left, whatever the delay

Symptom (by reading, after the incident's mend): a call and its client's close that come while the machine pauses were handled in two turns, and the call was sent to a worker in between, however long ago its client had gone; a dial that opened in the same batch came before the close. An attempt that waited for a dial told the worker the budget of before, up to the dial's time too much, and was written even after its own time. Change: a connection whose peer has ended is read to its end in one turn; clients' events come first; the header of an attempt is encoded when it is written. Tests: TestRequestIsHandledWithTheEndOfItsClient, TestCallOfGoneClientAfterAPause (the process is stopped meanwhile), TestEventsOfClientsComeFirst, TestQueuedAttemptCarriesTheTimeThatIsLeft.

--- a/cmd/functionrouter/cancel_test.go
+++ b/cmd/functionrouter/cancel_test.go
@@ -1,6 +1,10 @@
 package main
 
-import "testing"
+import (
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
 
 // cancellations are the ways in which a client cancels its last request.
 var cancellations = []struct {
@@ -57,3 +61,30 @@
 		})
 	}
 }
+
+// The process is paused while a client sends a call and goes: no attempt begins for it once the process goes on.
+func TestCallOfGoneClientAfterAPause(t *testing.T) {
+	worker := startFakeWorker(t)
+	h, _ := newHarness(t, newFakeDirectory(t), 1024, "", listedWorker{name: "s-1", addr: worker.addr})
+	process := h.startProcess(1024)
+	gone, other := h.connect(), h.connect()
+	gone.checkHealth()
+	other.sendCall("safe", "00000000000000a0", "to open a connection to the worker")
+	worker.nextRequest().respond("HIT", "done")
+	other.expectStatus("served")
+	pause(t, process)
+	gone.sendCall("safe", "00000000000000a1", "of a client that has gone")
+	gone.close()
+	if err := process.Signal(unix.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	other.checkHealth()
+	other.sendCall("safe", "00000000000000a2", "of one that waits")
+	r := worker.nextRequest()
+	if r.body != "of one that waits" {
+		t.Fatalf("the worker was sent %q", r.body)
+	}
+	r.respond("HIT", "done")
+	other.expectStatus("served")
+	worker.expectNoRequest()
+}
--- /dev/null
+++ b/cmd/functionrouter/process_control_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// threadsOf returns the threads that the process has.
+func threadsOf(pid int) ([]int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	if err != nil {
+		return nil, err
+	}
+	var threads []int
+	for _, entry := range entries {
+		id, err := strconv.Atoi(entry.Name())
+		if err != nil {
+			return nil, err
+		}
+		threads = append(threads, id)
+	}
+	return threads, nil
+}
+
+// setAffinityOfAllThreads sets the processors of each thread that the process has. Further threads inherit them.
+func setAffinityOfAllThreads(pid int, cpus *unix.CPUSet) error {
+	threads, err := threadsOf(pid)
+	if err != nil {
+		return err
+	}
+	for _, id := range threads {
+		if err := unix.SchedSetaffinity(id, cpus); err != nil && !errors.Is(err, unix.ESRCH) {
+			return err
+		}
+	}
+	return nil
+}
+
+// pause stops the process until SIGCONT, and returns once all its threads have stopped.
+func pause(t *testing.T, process *os.Process) {
+	t.Helper()
+	if err := process.Signal(unix.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for stopped := false; !stopped; {
+		threads, err := threadsOf(process.Pid)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stopped = true
+		for _, id := range threads {
+			stopped = stopped && isStopped(process.Pid, id)
+		}
+	}
+}
+
+// isStopped reports whether a thread is in the state T (proc(5), pid/stat).
+func isStopped(pid, thread int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/stat", pid, thread))
+	if err != nil {
+		return false
+	}
+	_, state, found := strings.Cut(string(text), ") ") // behind the name, which may hold anything
+	return found && strings.HasPrefix(state, "T")
+}
--- a/internal/backend/call.go
+++ b/internal/backend/call.go
@@ -44,27 +44,42 @@
 	tag     uint64           // of a load order or a probe: the caller's name for it
 	token   string           // the id on the wire
 
-	// What is to be written; nil once it is.
+	// What is to be written; nil once it is. The header of an attempt is encoded then, with the time that is left.
 	header []byte
 	body   []byte
 
+	// Of an attempt.
+	class    string
+	function string
+	deadline time.Duration // by which its answer is of use
+
 	connection *connection
 	written    bool
 	sentAt     time.Duration // when it was written
 	resends    int           // how often it was sent again because its connection ended
 }
 
-func newAttemptCall(a router.AttemptID, r *router.Request, class string, budget time.Duration) *pendingCall {
-	fields := fmt.Sprintf("queue=%s,path=%s,budget=%d", class, r.FunctionKey, max(budget.Milliseconds(), 1))
+// newAttemptCall returns the call of an attempt whose answer is of use until deadline.
+func newAttemptCall(a router.AttemptID, r *router.Request, class string, deadline time.Duration) *pendingCall {
 	return &pendingCall{
-		kind:    attemptCall,
-		attempt: a,
-		token:   r.ID,
-		header:  encodeHeader(len(r.Body), commandRun, r.ID, fields),
-		body:    r.Body,
+		kind:     attemptCall,
+		attempt:  a,
+		token:    r.ID,
+		body:     r.Body,
+		class:    class,
+		function: r.FunctionKey,
+		deadline: deadline,
 	}
 }
 
+// encodeAttemptHeader returns the header of an attempt that is written at now. The budget that it gives the worker is what
+// is left then: the attempt may have waited for a dial.
+func (call *pendingCall) encodeAttemptHeader(now time.Duration) []byte {
+	budget := max((call.deadline - now).Milliseconds(), 1)
+	fields := fmt.Sprintf("queue=%s,path=%s,budget=%d", call.class, call.function, budget)
+	return encodeHeader(len(call.body), commandRun, call.token, fields)
+}
+
 func newLoadOrderCall(tag uint64, f policy.FunctionID, count int) *pendingCall {
 	token := loadOrderToken(tag)
 	fields := fmt.Sprintf("path=%s,count=%d", formatFunctionID(f), count)
--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -12,7 +12,7 @@
 func (p *Pool) StartAttempt(id policy.WorkerID, a router.AttemptID, r *router.Request, budget time.Duration) {
 	w := p.workers[id]
 	if w != nil && w.acceptsNew() {
-		call := newAttemptCall(a, r, p.cfg.Classes[r.Class], budget)
+		call := newAttemptCall(a, r, p.cfg.Classes[r.Class], p.now+budget)
 		if c := p.selectConnection(w, call); c != nil {
 			p.attempts[a] = call
 			c.send(call)
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -76,7 +76,7 @@
 	call.sentAt = c.pool.now
 	c.lastUsedAt = c.pool.now
 	if call.kind == attemptCall {
-		c.transport.Write(call.header, call.body, lineEnd)
+		c.transport.Write(call.encodeAttemptHeader(c.pool.now), call.body, lineEnd)
 	} else {
 		c.transport.Write(call.header)
 	}
@@ -172,6 +172,11 @@
 	queued := c.queued
 	c.queued = nil
 	for _, call := range queued {
+		if call.kind == attemptCall && call.deadline <= c.pool.now {
+			c.release(call) // its client waits no longer
+			c.pool.endUnanswered(call, policy.NotSent)
+			continue
+		}
 		c.write(call)
 	}
 }
--- a/internal/backend/dial_test.go
+++ b/internal/backend/dial_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"functionrouter/policy"
 )
@@ -64,3 +65,32 @@
 		})
 	}
 }
+
+// An attempt that has waited for a dial tells the worker the time that is left, and not the time that it had at first. One
+// whose time is over is not sent.
+func TestQueuedAttemptCarriesTheTimeThatIsLeft(t *testing.T) {
+	for _, test := range []struct {
+		waited time.Duration
+		want   string // empty: it is not sent
+	}{
+		{0, "budget=1000"},
+		{300 * time.Millisecond, "budget=700"},
+		{time.Second, ""},
+	} {
+		p := newTestPool()
+		a := attemptID(1)
+		p.start(a, hexID(0xa1))
+		p.SetNow(test.waited)
+		p.transports[0].handler.OnOpen(nil)
+		ended := p.results.attempts[a]
+		if test.want == "" {
+			if len(ended) != 1 || ended[0] != policy.NotSent || p.transports[0].written.Len() > 0 {
+				t.Errorf("after %v: ended %v, wrote %q", test.waited, ended, p.transports[0].written.String())
+			}
+			continue
+		}
+		if !p.transports[0].wrote(test.want) || len(ended) > 0 {
+			t.Errorf("after %v: wrote %q, ended %v", test.waited, p.transports[0].written.String(), ended)
+		}
+	}
+}
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -29,7 +29,7 @@
 		return
 	}
 	c := &Conn{loop: l, fd: fd, remoteAddr: peer, isAccepted: true}
-	if err := c.startPolling(unix.EPOLLIN); err != nil {
+	if err := c.startPolling(unix.EPOLLIN | unix.EPOLLRDHUP); err != nil {
 		slog.Error("accepted connection can't be polled", "address", peer, "error", err)
 		l.Closed[OverLimit]++
 		closeDescriptor(fd)
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -51,7 +51,7 @@
 func (c *Conn) updateInterest() {
 	var events uint32
 	if !c.inputEnded && !c.closing {
-		events |= unix.EPOLLIN
+		events |= unix.EPOLLIN | unix.EPOLLRDHUP
 	}
 	if len(c.unsent) > 0 {
 		events |= unix.EPOLLOUT
@@ -66,6 +66,8 @@
 	c.interest = events
 }
 
+func (c *Conn) ofClient() bool { return c.isAccepted }
+
 // onEvents handles what the poller reports. A connection that broke is read all the same: what came before is in the
 // socket, and the read tells why it broke.
 func (c *Conn) onEvents(events uint32) {
@@ -83,8 +85,12 @@
 		if events&ended != 0 {
 			c.end(c.pendingError())
 		}
-	case events&(unix.EPOLLIN|ended) != 0:
-		c.readAvailable()
+	case events&(unix.EPOLLRDHUP|ended) != 0:
+		// To the end, so that what the peer sent before it is never handled in a turn of its own: a request whose client
+		// has gone is not to be sent on.
+		c.readUpTo(maxReadsAtEnd, true)
+	case events&unix.EPOLLIN != 0:
+		c.readUpTo(maxReadsPerTurn, false)
 	}
 }
 
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -110,6 +110,8 @@
 	}
 }
 
+func (ln *listener) ofClient() bool { return false }
+
 // onEvents accepts what waits, up to a bound. What is left makes the poller return at once.
 func (ln *listener) onEvents(uint32) {
 	for range maxAcceptsPerTurn {
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -9,8 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxPollEvents is how many events one wait returns at most.
-const maxPollEvents = 256
+// maxPollEvents is how many events one wait returns at most. It is as many as a router has descriptors, so that after a
+// pause of the machine one turn learns of all that happened.
+const maxPollEvents = 1024
 
 // token names the registration of one descriptor at the poller. No token is used twice, although descriptors are: an
 // event of a registration that has ended finds nobody.
@@ -23,6 +24,8 @@
 type pollable interface {
 	// onEvents handles events, a mask of unix.EPOLL*.
 	onEvents(events uint32)
+	// ofClient reports whether the descriptor is a client's connection.
+	ofClient() bool
 }
 
 // poller waits for events on descriptors (epoll(7), level-triggered). Only wake may be called on another goroutine than
@@ -102,16 +105,18 @@
 	return p.events[:n]
 }
 
-// dispatch hands the events to their receivers, and drops those whose registration has ended meanwhile.
+// dispatch hands the events to their receivers, and drops those whose registration has ended meanwhile. Those of clients
+// come first: one that has gone must not have its call sent over a connection to a worker that opens in the same turn.
 func (p *poller) dispatch(events []unix.EpollEvent) {
-	for i := range events {
-		t := tokenOf(&events[i])
-		if t == wakeToken {
-			p.clearWake()
-			continue
-		}
-		if receiver := p.polled[t]; receiver != nil {
-			receiver.onEvents(events[i].Events)
+	for _, ofClients := range []bool{true, false} {
+		for i := range events {
+			t := tokenOf(&events[i])
+			if t == wakeToken && ofClients {
+				p.clearWake()
+			}
+			if receiver := p.polled[t]; receiver != nil && receiver.ofClient() == ofClients {
+				receiver.onEvents(events[i].Events)
+			}
 		}
 	}
 }
--- a/internal/eventloop/poller_test.go
+++ b/internal/eventloop/poller_test.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -11,8 +12,11 @@
 type countingPollable struct {
 	events  int
 	onEvent func()
+	client  bool
 }
 
+func (p *countingPollable) ofClient() bool { return p.client }
+
 func (p *countingPollable) onEvents(uint32) {
 	p.events++
 	if p.onEvent != nil {
@@ -70,6 +74,26 @@
 	}
 }
 
+// What clients did comes before all else in a batch, in whatever order the kernel reports it.
+func TestEventsOfClientsComeFirst(t *testing.T) {
+	p, err := newPoller(kernelCalls{})
+	check(t, err)
+	t.Cleanup(p.close)
+	var order []bool
+	for _, client := range []bool{false, true, false, true} {
+		fd := readableSocket(t)
+		t.Cleanup(func() { closeDescriptor(fd) })
+		receiver := &countingPollable{client: client}
+		receiver.onEvent = func() { order = append(order, client) }
+		_, err := p.add(fd, unix.EPOLLIN, receiver)
+		check(t, err)
+	}
+	p.dispatch(p.wait(time.Second))
+	if !slices.Equal(order, []bool{true, true, false, false}) {
+		t.Errorf("handled in the order %v, true for clients", order)
+	}
+}
+
 // A call that is posted while the loop ends is not made, and touches no descriptor that is closed by then.
 func TestPostAfterTheEnd(t *testing.T) {
 	l := New(Config{})
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -15,39 +15,40 @@
 	// loop from the others.
 	maxReadsPerTurn = 4
 
-	// maxReadsAtEnd is how often a connection is read that can't be written to any more. The rest is dropped.
+	// maxReadsAtEnd is how often a connection is read in one turn that its peer has ended, or that can't be written to
+	// any more.
 	maxReadsAtEnd = 64
 )
 
-// readAvailable reads what has come. What it leaves, the poller reports again.
-func (c *Conn) readAvailable() { c.readUpTo(maxReadsPerTurn) }
-
-func (c *Conn) readUpTo(reads int) {
+// readUpTo reads what has come, with so many reads at most. A read that does not fill the buffer is the last one, unless
+// the connection is read toEnd. What it leaves, the poller reports again.
+func (c *Conn) readUpTo(reads int, toEnd bool) {
 	for range reads {
-		if !c.readOnce() {
+		more, full := c.readOnce()
+		if !more || !full && !toEnd {
 			return
 		}
 	}
 }
 
-// readOnce reads one buffer and handles it. It reports whether there may be more.
-func (c *Conn) readOnce() (more bool) {
+// readOnce reads one buffer and handles it. It reports whether there may be more, and whether the buffer was filled.
+func (c *Conn) readOnce() (more, full bool) {
 	buffer := c.loop.readBuffer
 	n, err := c.loop.calls.read(c.fd, buffer)
 	switch {
 	case errors.Is(err, unix.EINTR):
-		return true
+		return true, true
 	case err != nil && isTransient(err):
-		return false
+		return false, false
 	case err != nil:
 		c.end(err)
-		return false
+		return false, false
 	case n == 0:
 		c.handleEndOfInput()
-		return false
+		return false, false
 	}
 	c.handleData(buffer[:n])
-	return n == len(buffer) && !c.closed && !c.closing
+	return !c.closed && !c.closing, n == len(buffer)
 }
 
 func (c *Conn) handleData(data []byte) {
--- a/internal/eventloop/read_test.go
+++ b/internal/eventloop/read_test.go
@@ -150,3 +150,37 @@
 		t.Errorf("the idle client: %v", err)
 	}
 }
+
+// turnRecorder records the turns in which a client's data and the end of its input were handled.
+type turnRecorder struct {
+	echoHandler
+	loop         *Loop
+	dataAt       time.Duration
+	endOfInputAt chan time.Duration
+}
+
+func (h *turnRecorder) OnData([]byte) { h.dataAt = h.loop.now }
+func (h *turnRecorder) OnEndOfInput() { h.endOfInputAt <- h.loop.now }
+
+// A client sends a request and goes while the machine pauses: both are handled in one turn, at whose end nothing is sent on
+// for a client that has gone.
+func TestRequestIsHandledWithTheEndOfItsClient(t *testing.T) {
+	h := &turnRecorder{echoHandler: echoHandler{closed: make(chan error, 1)}, endOfInputAt: make(chan time.Duration, 1)}
+	accepted := make(chan struct{})
+	l := startLoop(t, 10, func(c *Conn) AcceptedHandler {
+		h.loop = c.loop
+		close(accepted)
+		return h
+	})
+	client := dialLoop(t, l)
+	<-accepted
+	call(l, func() {
+		_, err := client.Write([]byte("request"))
+		if err := errors.Join(err, client.CloseWrite()); err != nil {
+			t.Error(err)
+		}
+	})
+	if endOfInputAt := <-h.endOfInputAt; endOfInputAt != h.dataAt {
+		t.Errorf("the data was handled at %v, the end of input at %v", h.dataAt, endOfInputAt)
+	}
+}
--- a/internal/eventloop/udp.go
+++ b/internal/eventloop/udp.go
@@ -77,6 +77,8 @@
 	return nil
 }
 
+func (c *UDPConn) ofClient() bool { return false }
+
 // onEvents reads what has come. An error, as an ICMP message of a port without a listener, ends the socket.
 func (c *UDPConn) onEvents(uint32) {
 	buffer := c.loop.readBuffer
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -170,7 +170,7 @@
 		return
 	}
 	if !c.inputEnded && !c.closing {
-		c.readUpTo(maxReadsAtEnd)
+		c.readUpTo(maxReadsAtEnd, true)
 	}
 	if !c.closed {
 		c.shut(causeOfError(c.writeError, WriteFailed), c.writeError)
