Close the peers that have taken nothing for longest where unread answers pass the limit, not the last one

Symptom (by reading): a client that reads lost its answers where others left theirs unread, since the connection that was being written to was closed as the bound on all unread bytes was passed. Change: those whose peers have taken nothing for longest are closed.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/netip"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,8 +29,9 @@
 	closing    bool  // it closes once all is written, and is not read any more
 	writeError error // it is read once more, and then closed
 
-	pending  [][]byte // written in this turn
-	unsent   []byte   // written in earlier turns; the kernel has yet to take it
+	pending  [][]byte      // written in this turn
+	unsent   []byte        // written in earlier turns; the kernel has yet to take it
+	takenAt  time.Duration // when the kernel last took some of unsent, or it began
 	activity messageActivity
 }
 
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -93,9 +93,29 @@
 		unsent = append(unsent, b...)
 	}
 	c.setUnsent(unsent)
-	if len(unsent) > maxConnUnreadBytes || c.loop.totalUnread > c.loop.cfg.MaxUnreadBytes {
+	if len(unsent) > maxConnUnreadBytes {
 		c.failWrite(errPeerNotReading)
 	}
+	c.loop.limitUnread()
+}
+
+// limitUnread closes the connections whose peers have taken nothing for longest until all together keep to the limit. The
+// one that is being written to is the last of them: its peer may be reading.
+func (l *Loop) limitUnread() {
+	for l.totalUnread > l.cfg.MaxUnreadBytes {
+		var stalled *Conn
+		for _, connections := range []map[*Conn]struct{}{l.accepted, l.dialed} {
+			for c := range connections {
+				if len(c.unsent) > 0 && (stalled == nil || c.takenAt < stalled.takenAt) {
+					stalled = c
+				}
+			}
+		}
+		if stalled == nil {
+			return
+		}
+		stalled.failWrite(errPeerNotReading)
+	}
 }
 
 // writeBuffers writes bufs in as few system calls as possible, and returns those that the kernel did not take. It changes
@@ -150,6 +170,9 @@
 
 // setUnsent sets the bytes that the kernel has yet to take.
 func (c *Conn) setUnsent(unsent []byte) {
+	if len(c.unsent) == 0 || len(unsent) < len(c.unsent) {
+		c.takenAt = c.loop.now
+	}
 	c.loop.totalUnread += len(unsent) - len(c.unsent)
 	c.unsent = unsent
 }
--- a/internal/eventloop/write_test.go
+++ b/internal/eventloop/write_test.go
@@ -57,3 +57,37 @@
 		t.Error("closed without a reason")
 	}
 }
+
+// Peers that do not read use up what all together may leave unread. They are closed, and not the client that reads.
+func TestReaderIsServedBesidePeersThatDoNotRead(t *testing.T) {
+	const peers, answerSize = 40, 200 << 10
+	handlers := make(chan *echoHandler, peers+1)
+	l := New(Config{MaxAcceptedConnections: peers + 1, MaxUnreadBytes: 5 * answerSize})
+	l.Listen("127.0.0.1:0", func(c *Conn) AcceptedHandler {
+		if err := unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, 4<<10); err != nil {
+			t.Error(err)
+		}
+		h := &echoHandler{conn: c, completeMessages: 1, closed: make(chan error, 1)}
+		handlers <- h
+		return h
+	})
+	runLoop(t, l)
+	for range peers {
+		check(t, dialLoop(t, l).SetReadBuffer(4<<10))
+		h := <-handlers
+		call(l, func() { h.conn.Write(make([]byte, answerSize)) })
+	}
+	reader := dialLoop(t, l)
+	h := <-handlers
+	answer := bytes.Repeat([]byte("a"), 2*answerSize)
+	call(l, func() { h.conn.Write(answer) })
+	got := make([]byte, len(answer))
+	if _, err := io.ReadFull(reader, got); err != nil {
+		t.Errorf("the client that reads: %v", err)
+	}
+	var closed CloseCounts
+	call(l, func() { closed = l.Closed })
+	if closed[PeerNotReading] == 0 || len(h.closed) > 0 {
+		t.Errorf("%d peers that do not read were closed, of those that read %d", closed[PeerNotReading], len(h.closed))
+	}
+}
