Replace worker connections that hold all the ids they may remember

Symptom: in the reproduction, 20,480 attempts at one worker in 1.5 s, then none for seconds: calls were given up at their deadlines although the worker was idle. Cause: each of the ten connections had its 2,048 recent ids and took no more attempts, and no other may be opened. Test: TestConnectionsFullOfRecentIDsAreReplaced fails without it.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -146,6 +146,10 @@
 	if c.state == connecting {
 		return
 	}
+	if c.state == ready && c.recentIDs.full() {
+		c.retire() // a new one carries more attempts; this one would carry none for seconds
+		return
+	}
 	if !c.takesCalls() { // it closes with its last call
 		if c.idle() {
 			c.close()
--- a/internal/backend/recent_ids.go
+++ b/internal/backend/recent_ids.go
@@ -6,7 +6,7 @@
 	// recentIDLifetime is how long an id is remembered at least, longer than any call lasts; it is at most twice that.
 	recentIDLifetime = 8 * time.Second
 
-	// maxRecentIDs bounds the ids of one connection. One that holds as many takes no new attempts.
+	// maxRecentIDs bounds the ids of one connection. One that holds as many takes no new attempts, and is retired.
 	maxRecentIDs = 2048
 )
 
--- a/internal/backend/selection_test.go
+++ b/internal/backend/selection_test.go
@@ -89,3 +89,28 @@
 		}
 	}
 }
+
+// Guards a worker that takes thousands of attempts a second: connections that can carry no more attempts give way to new
+// ones, and do not use up those that the worker may have.
+func TestConnectionsFullOfRecentIDsAreReplaced(t *testing.T) {
+	p := newTestPool()
+	for i := range maxConnectionsPerWorker*maxRecentIDs + 1 {
+		a := attemptID(i)
+		p.start(a, hexID(i))
+		if last := p.last(); len(p.workers[workerID].connections) > 0 && !last.wrote(hexID(i)) && i%maxRecentIDs == 0 {
+			last.handler.OnOpen(nil)
+		}
+		p.CancelAttempt(workerID, a)
+	}
+	p.Sweep(p.now + SweepInterval)
+	for _, transport := range p.transports {
+		if transport.closed {
+			transport.handler.OnClose(nil)
+		}
+	}
+	last := attemptID(1 << 20)
+	p.start(last, hexID(1<<20))
+	if ended := p.results.attempts[last]; len(ended) > 0 {
+		t.Errorf("an attempt after %d others ended with %v", maxConnectionsPerWorker*maxRecentIDs, ended)
+	}
+}
