--- a/internal/router/deadline.go
+++ b/internal/router/deadline.go
@@ -46,6 +46,6 @@
 	}
 	r.Counters.Overdue++
 	r.endLog.record(r.now, p, status.outcome(), overdueCause)
-	r.respondUnserved(id, p, Response{Status: status})
+	r.respondUnserved(id, p, Response{Status: status, RetryAfter: r.limits.RetryAfter})
 	r.events.add(policy.ClientCancelled{Request: id})
 }
--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -36,7 +36,7 @@
 			r.now = deadline.due
 			r.fire(deadline)
 			r.Process(r.now)
-			if resp := responder.only(t); resp.Status != test.want || !resp.DeadlineExceeded {
+			if resp := responder.only(t); resp.Status != test.want || !resp.DeadlineExceeded || resp.RetryAfter != r.limits.RetryAfter {
 				t.Errorf("answer %+v, want status %v", resp, test.want)
 			}
 			if r.Counters.Overdue != 1 || len(workers.openAttempts) != 0 {
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := New(p, Limits{MaxOpenRequests: 50, MaxBodyBytes: 1 << 16, MaxAttempts: 3, LoadOrderTimeout: 10 * time.Second,
+	r := New(p, Limits{MaxOpenRequests: 50, MaxBodyBytes: 1 << 16, MaxAttempts: 3, RetryAfter: 100 * ms, LoadOrderTimeout: 10 * time.Second,
 		ProbeTimeout: 250 * ms})
 	return r, newFakeWorkerPool(r)
 }
