Give each kind of signal a channel of its own, so that none crowds out SIGTERM

By reading: SIGUSR1, SIGTERM and SIGINT shared a channel of four; a signal that finds it full is dropped (os/signal). No test: the channel could only be filled while the process was starved. TestCallsAreAnsweredUntilTheKill sends signals in series.

--- a/cmd/functionrouter/signals.go
+++ b/cmd/functionrouter/signals.go
@@ -10,8 +10,10 @@
 // signalWatcher receives the process's signals and passes them on to the event loop. It owns two goroutines, which end
 // after close.
 type signalWatcher struct {
-	// Two channels, so that SIGHUPs in a row can't crowd out a SIGTERM.
-	signals chan os.Signal
+	// A channel for each purpose, so that SIGHUPs or SIGUSR1s in a row can't crowd out a SIGTERM. A signal that comes while
+	// its channel is full adds nothing to the one that is in it.
+	terminations chan os.Signal // SIGTERM and SIGINT
+	reports      chan os.Signal // SIGUSR1
 	// hangups holds one SIGHUP: the first that comes while the file is being read makes it be read once more, further
 	// ones add nothing.
 	hangups chan os.Signal
@@ -21,11 +23,13 @@
 // watchSignals begins to receive signals. It keeps them until forward is called.
 func watchSignals() *signalWatcher {
 	w := &signalWatcher{
-		signals: make(chan os.Signal, 4),
-		hangups: make(chan os.Signal, 1),
-		closed:  make(chan struct{}),
+		terminations: make(chan os.Signal, 1),
+		reports:      make(chan os.Signal, 1),
+		hangups:      make(chan os.Signal, 1),
+		closed:       make(chan struct{}),
 	}
-	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(w.terminations, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(w.reports, syscall.SIGUSR1)
 	signal.Notify(w.hangups, syscall.SIGHUP)
 	return w
 }
@@ -33,7 +37,8 @@
 // close stops receiving signals and ends the goroutines. It does not wait for them: a file that takes long to read
 // must not hold up the end of the program, and what they post to a loop that has stopped is not run.
 func (w *signalWatcher) close() {
-	signal.Stop(w.signals)
+	signal.Stop(w.terminations)
+	signal.Stop(w.reports)
 	signal.Stop(w.hangups)
 	close(w.closed)
 }
@@ -61,18 +66,20 @@
 func (w *signalWatcher) forwardSignals(s *server) {
 	for {
 		select {
-		case sig := <-w.signals:
-			s.loop.Post(func() { s.handleSignal(sig) })
+		case sig := <-w.terminations:
+			s.loop.Post(func() { s.handleTermination(sig) })
+		case <-w.reports:
+			s.loop.Post(s.logCounters)
 		case <-w.closed:
 			return
 		}
 	}
 }
 
-// handleSignal logs the counters, and begins to shut down on any signal but SIGUSR1.
-func (s *server) handleSignal(sig os.Signal) {
+// handleTermination logs the counters, and begins to shut down unless that has begun.
+func (s *server) handleTermination(sig os.Signal) {
 	s.logCounters()
-	if sig == syscall.SIGUSR1 || s.shutdown.begun() {
+	if s.shutdown.begun() {
 		return
 	}
 	s.beginShutdown(s.loop.Now())
