Do not blame a worker for a dial that failed on this machine

Change: a dial whose time is over while this machine lacks descriptors, ports or buffers ends with ErrLocalFault; its attempts and load orders end as not sent, which the policy does not hold against the worker.

--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -112,6 +112,9 @@
 	case loadOrderCall:
 		p.results.LoadOrderEnded(call.tag, outcome, 0)
 	case probeCall:
+		if outcome == policy.NotSent { // it is no sign of life either
+			outcome = policy.Unreachable
+		}
 		p.results.ProbeEnded(call.tag, outcome, nil)
 	case healthCheckCall: // nobody outside this package knows of it
 	}
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"functionrouter/internal/eventloop"
 	"functionrouter/policy"
 )
 
@@ -163,7 +164,11 @@
 	if err != nil {
 		slog.Warn("worker dial failed", "address", c.worker.address, "error", err)
 		reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
-		c.terminate(policy.Unreachable, reset)
+		outcome := policy.Unreachable
+		if errors.Is(err, eventloop.ErrLocalFault) {
+			outcome = policy.NotSent // the worker is not to blame
+		}
+		c.terminate(outcome, reset)
 		return
 	}
 	if c.state == connecting {
--- a/internal/backend/dial_test.go
+++ b/internal/backend/dial_test.go
@@ -1,12 +1,15 @@
 package backend
 
 import (
+	"fmt"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
 
+	"functionrouter/internal/eventloop"
 	"functionrouter/policy"
 )
 
@@ -94,3 +97,25 @@
 		}
 	}
 }
+
+// A dial that fails for want of something on this machine is not held against its worker.
+func TestLocalFaultIsNotTheWorkers(t *testing.T) {
+	p := newTestPool()
+	a := attemptID(1)
+	p.start(a, hexID(0xa1))
+	p.LoadInstance(workerID, 5, 1, 9)
+	p.Probe(workerID, 10)
+	for _, transport := range p.transports {
+		transport.handler.OnOpen(fmt.Errorf("dial: %w: %w", eventloop.ErrLocalFault, syscall.EMFILE))
+	}
+	want := []policy.Outcome{policy.NotSent}
+	if got := p.results.attempts[a]; !slices.Equal(got, want) {
+		t.Errorf("the attempt ended with %v", got)
+	}
+	if got := p.results.controls[9]; !slices.Equal(got, want) {
+		t.Errorf("the load order ended with %v", got)
+	}
+	if got := p.results.controls[10]; !slices.Equal(got, []policy.Outcome{policy.Unreachable}) {
+		t.Errorf("the probe ended with %v", got)
+	}
+}
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -12,6 +13,10 @@
 // dialRetryInterval is the time between two attempts to open a socket while this machine can't.
 const dialRetryInterval = 10 * time.Millisecond
 
+// ErrLocalFault is in the error of a dial that failed for want of something on this machine, as descriptors or ports. It
+// says nothing of the peer.
+var ErrLocalFault = errors.New("this machine can't open a connection")
+
 // noDeadline stands for a time that never comes.
 const noDeadline = time.Duration(1<<63 - 1)
 
@@ -62,6 +67,7 @@
 // connect begins to connect a new socket.
 func (c *Conn) connect() {
 	c.dial.retryAt = 0
+	c.dial.lastError = nil
 	domain, sockaddr := socketAddress(c.remoteAddr)
 	fd, err := c.loop.calls.socket(domain, unix.SOCK_STREAM)
 	if err != nil {
@@ -115,12 +121,12 @@
 // handleConnectError tries again later after a fault of this machine, and ends the dial after any other.
 func (c *Conn) handleConnectError(err error) {
 	retryAt := c.loop.now + dialRetryInterval
-	if isLocalFault(err) && retryAt < c.dial.deadline {
-		c.dial.lastError = err
-		c.dial.retryAt = retryAt
+	if !isLocalFault(err) {
+		c.failDial(err)
 		return
 	}
-	c.failDial(err)
+	c.dial.lastError = err
+	c.dial.retryAt = min(retryAt, c.dial.deadline)
 }
 
 // isLocalFault reports whether a dial failed for want of something on this machine.
@@ -140,16 +146,20 @@
 	})
 }
 
+// timeoutError returns why the dial has not come up in time.
+func (d *dial) timeoutError() error {
+	if d.lastError != nil {
+		return fmt.Errorf("%w: %w", ErrLocalFault, d.lastError)
+	}
+	return os.ErrDeadlineExceeded
+}
+
 // checkDials tries those dials again whose pause is over, and ends those whose time is.
 func (l *Loop) checkDials() {
 	for c := range l.dialing {
 		switch {
 		case l.now >= c.dial.deadline:
-			err := c.dial.lastError
-			if err == nil {
-				err = os.ErrDeadlineExceeded
-			}
-			c.failDial(err)
+			c.failDial(c.dial.timeoutError())
 		case c.dial.retryAt > 0 && l.now >= c.dial.retryAt:
 			c.connect()
 		}
--- a/internal/eventloop/faults_test.go
+++ b/internal/eventloop/faults_test.go
@@ -150,7 +150,7 @@
 	calls.mu.Unlock()
 	r := newDialRecorder()
 	l.Post(func() { l.Dial(l.Addrs()[0], 50*time.Millisecond, r) })
-	if err := <-r.opened; !errors.Is(err, unix.ENFILE) {
+	if err := <-r.opened; !errors.Is(err, ErrLocalFault) || !errors.Is(err, unix.ENFILE) {
 		t.Errorf("the dial ended with %v", err)
 	}
 }
