Let neither a stalled nor an ended reader of the log hold up or end the router

Symptom, found in the search for the class (the loop waits on something outside): with a pipe as standard error that nobody reads, calls went unanswered as soon as it was full (64 KiB); with one whose reader had ended, the process was killed by SIGPIPE at the next line. Cause: slog wrote to standard error on the loop's goroutine.

--- a/cmd/functionrouter/main.go
+++ b/cmd/functionrouter/main.go
@@ -9,11 +9,24 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"functionrouter/internal/logging"
 )
 
+// logCloseTimeout is how long the end of the program waits for the reader of its log.
+const logCloseTimeout = 100 * time.Millisecond
+
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	// A collector of the log that ends must not end the router: the runtime raises SIGPIPE for standard error.
+	signal.Ignore(syscall.SIGPIPE)
+	log := logging.NewWriter(os.Stderr)
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	err := run()
+	log.Close(logCloseTimeout)
+	if err != nil {
 		fmt.Fprintf(os.Stderr, "functionrouter: %v\n", err)
 		os.Exit(1)
 	}
--- a/cmd/functionrouter/process_test.go
+++ b/cmd/functionrouter/process_test.go
@@ -52,18 +52,26 @@
 // signals do not reach it.
 func (h *harness) startProcess(descriptors int) *os.Process {
 	h.t.Helper()
-	cmd := routerCommand(h.configPath, descriptors)
 	var log bytes.Buffer
-	cmd.Stderr = &log
+	h.t.Cleanup(func() {
+		if h.t.Failed() {
+			h.t.Logf("the router's log:\n%s", log.String())
+		}
+	})
+	return h.startProcessWithLog(descriptors, &log)
+}
+
+// startProcessWithLog is startProcess with another receiver of the log.
+func (h *harness) startProcessWithLog(descriptors int, log io.Writer) *os.Process {
+	h.t.Helper()
+	cmd := routerCommand(h.configPath, descriptors)
+	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		h.t.Fatal(err)
 	}
 	h.t.Cleanup(func() {
 		_ = cmd.Process.Kill() // a test may have killed it
 		_ = cmd.Wait()         // reports that it was killed
-		if h.t.Failed() {
-			h.t.Logf("the router's log:\n%s", log.String())
-		}
 	})
 	c := h.connect()
 	c.checkHealth()
@@ -195,3 +203,42 @@
 		status, _ = again.response()
 	}
 }
+
+// The collector of the router's log stops reading it, or ends: calls are answered all the same.
+func TestLogWithoutAReader(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		lose func(t *testing.T, reader *os.File)
+	}{
+		{"stalls", func(*testing.T, *os.File) {}},
+		{"ends", func(t *testing.T, reader *os.File) {
+			if err := reader.Close(); err != nil {
+				t.Fatal(err)
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			worker := startEchoWorker(t)
+			h, _ := newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
+			reader, writer, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = reader.Close() }) // the test may have closed it
+			process := h.startProcessWithLog(1024, writer)
+			if err := writer.Close(); err != nil {
+				t.Fatal(err)
+			}
+			test.lose(t, reader)
+			c := h.connect()
+			const pipeBytes = 64 << 10 // what a pipe holds (pipe(7)); a report of the counters takes over 1 KiB
+			for i := range 2 * pipeBytes / 1024 {
+				if err := process.Signal(syscall.SIGUSR1); err != nil {
+					t.Fatal(err)
+				}
+				c.sendCall("safe", fmt.Sprintf("%016x", 0xa1+i), "one")
+				c.response()
+			}
+		})
+	}
+}
