Bound a worker's start time by when it was noticed, so that a stepped clock does not change slow start

Symptom (operators' reading): TimeFromUnix tied a worker's start to the wall clock read at our own start; after a step, or where the machines' clocks differ, slow start began an hour late or was over at once. Not run: a stepped clock on a real process.

--- a/cmd/functionrouter/endpoints.go
+++ b/cmd/functionrouter/endpoints.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"functionrouter/internal/discovery"
 	"functionrouter/policy"
@@ -11,6 +10,7 @@
 // updateEndpoints passes a new endpoint list to the router and then to the pool. The order matters: attempts that the
 // pool gives back on account of the list are placed again by this list, not by the one before.
 func (s *server) updateEndpoints(list []discovery.Endpoint) {
+	s.startTimes.update(list, s.loop.Now(), s.discovery.LastAnswerAt(), s.loop.TimeFromUnix)
 	update := policy.EndpointUpdate{Kind: policy.FullUpdate}
 	for _, e := range list {
 		update.Endpoints = append(update.Endpoints, s.policyEndpoint(e))
@@ -28,15 +28,12 @@
 // policyEndpoint converts an endpoint to the policy's form.
 func (s *server) policyEndpoint(e discovery.Endpoint) policy.Endpoint {
 	converted := policy.Endpoint{
-		Worker: e.ID(),
-		State:  e.State,
-		Weight: e.Weight,
-		Cell:   e.Cell,
-		Zone:   max(slices.Index(s.cfg.transport.FailureDomains, e.Zone), 0), // an unknown zone counts as the first
-	}
-	if e.Started > 0 {
-		// At least 1, since 0 means that the start is not known.
-		converted.StartedAt = max(s.loop.TimeFromUnix(time.UnixMilli(e.Started)), 1)
+		Worker:    e.ID(),
+		State:     e.State,
+		Weight:    e.Weight,
+		StartedAt: s.startTimes.of(e),
+		Cell:      e.Cell,
+		Zone:      max(slices.Index(s.cfg.transport.FailureDomains, e.Zone), 0), // an unknown zone counts as the first
 	}
 	return converted
 }
--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -34,6 +34,7 @@
 	discovery  *discovery.Client
 	extensions *extensions
 
+	startTimes   startTimes
 	endpointLog  endpointLog
 	housekeeping housekeeping
 	shutdown     shutdown
--- /dev/null
+++ b/cmd/functionrouter/start_times_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"functionrouter/internal/discovery"
+)
+
+// The clocks of two machines, or one clock before and after a step, may differ by anything: a start that was just noticed
+// is never later than now, nor long past.
+func TestStartTimesAreBoundedByTheirNotice(t *testing.T) {
+	const now = 2 * time.Hour
+	wallNow := time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	for _, test := range []struct {
+		name           string
+		age            time.Duration // by the directory's clock
+		step           time.Duration // of this machine's clock, forward
+		previousAnswer time.Duration
+		want           time.Duration
+	}{
+		{name: "clocks agree", age: time.Second, previousAnswer: now - 200*time.Millisecond, want: now - time.Second},
+		{name: "clocks agree, first answer", age: time.Minute, want: now - time.Minute},
+		{name: "late notice", age: 20 * time.Second, previousAnswer: now - 18*time.Second, want: now - 20*time.Second},
+		{name: "2 s back", age: time.Second, step: -2 * time.Second, previousAnswer: now - 200*time.Millisecond, want: now},
+		{name: "1 h back", age: time.Second, step: -time.Hour, previousAnswer: now - 200*time.Millisecond, want: now},
+		{name: "2 s forward", age: time.Second, step: 2 * time.Second, previousAnswer: now - 200*time.Millisecond,
+			want: now - 3*time.Second},
+		{name: "1 h forward", age: time.Second, step: time.Hour, previousAnswer: now - 200*time.Millisecond,
+			want: now - 200*time.Millisecond},
+		{name: "1 h back, first answer", age: time.Second, step: -time.Hour, want: now},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := discovery.Endpoint{Name: "s-1", Started: wallNow.Add(-test.age).UnixMilli()}
+			fromWallClock := func(at time.Time) time.Duration { return now + at.Sub(wallNow.Add(test.step)) }
+			var s startTimes
+			s.update([]discovery.Endpoint{e}, now, test.previousAnswer, fromWallClock)
+			if got := s.of(e); got != test.want {
+				t.Errorf("started at %v, want %v", got, test.want)
+			}
+			// Once converted, a start stays, whatever the clock does.
+			s.update([]discovery.Endpoint{e}, now+time.Minute, now+59*time.Second, func(time.Time) time.Duration { return 1 })
+			if got := s.of(e); got != test.want {
+				t.Errorf("a minute later, started at %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// A worker that a list lacks for a while has not started anew; and what is remembered of workers that have gone is bounded.
+func TestStartTimesOfWorkersThatAreBack(t *testing.T) {
+	const now = 2 * time.Hour
+	e := discovery.Endpoint{Name: "s-1", Started: 1}
+	var s startTimes
+	s.update([]discovery.Endpoint{e}, now, 0, func(time.Time) time.Duration { return time.Hour })
+	s.update(nil, now+time.Second, now, nil)
+	s.update([]discovery.Endpoint{e}, now+2*time.Second, now+time.Second, nil)
+	if got := s.of(e); got != time.Hour {
+		t.Errorf("started at %v after it was back", got)
+	}
+	for i := range 3 * maxRememberedStarts {
+		e.Started = int64(2 + i)
+		s.update([]discovery.Endpoint{e}, now, 0, func(time.Time) time.Duration { return time.Hour })
+	}
+	if got := len(s.converted); got > maxRememberedStarts+1 {
+		t.Errorf("%d starts are remembered", got)
+	}
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -44,6 +44,8 @@
 	now      time.Duration
 	nextPoll time.Duration
 
+	lastAnswerAt time.Duration // when the last usable answer came; 0: none has
+
 	// failureLogged holds back further log lines until the next usable answer.
 	failureLogged bool
 }
@@ -66,6 +68,10 @@
 // EndpointCount returns how many workers are known.
 func (c *Client) EndpointCount() int { return len(c.list.endpoints) }
 
+// LastAnswerAt returns when the last usable answer came, 0 if none has; in onUpdate, the one before the answer that it is
+// about.
+func (c *Client) LastAnswerAt() time.Duration { return c.lastAnswerAt }
+
 // Migrate moves to a directory at another address, which is polled at once. The list and its serial stay:
 // the new directory continues the numbering of the old one.
 func (c *Client) Migrate(now time.Duration, address string) {
@@ -125,6 +131,7 @@
 		c.onUpdate(c.list.sorted())
 	}
 	c.failureLogged = false
+	c.lastAnswerAt = c.now
 	c.AnswersReceived++
 }
 
