Test calls and their answers beside workers whose connections are reset, cut, stalled, slow

A proxy between the router's process and each worker draws a fault for each connection; unfriendly clients and a SIGHUP come beside. Each call must get one valid answer in time, no call that may have run and must not run twice is sent again, and none more often than the settings allow.

--- /dev/null
+++ b/cmd/functionrouter/fault_proxy_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// connectionFault is what a faultProxy does to the answers on one connection.
+type connectionFault int
+
+const (
+	noFault        connectionFault = iota
+	resetSoon                      // the connection is reset after some milliseconds
+	cutAnswer                      // it is closed in the middle of what the worker sends
+	stallAnswers                   // the worker's answers no longer pass, and the connection stays open
+	dribbleAnswers                 // they pass a few bytes at a time
+	delayAnswers                   // they pass late
+	connectionFaultCount
+)
+
+// faultProxy stands between the router and a worker. Each connection that it carries has a fault, drawn from its seed.
+type faultProxy struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	open   map[net.Conn]struct{}
+}
+
+// startFaultProxy returns a proxy to the worker at target, until the test ends.
+func startFaultProxy(t *testing.T, target string, seed uint64) *faultProxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &faultProxy{
+		listener: listener,
+		target:   target,
+		random:   rand.New(rand.NewPCG(seed, 0)),
+		open:     map[net.Conn]struct{}{},
+	}
+	t.Cleanup(p.stop)
+	go p.acceptAll()
+	return p
+}
+
+func (p *faultProxy) addr() string { return p.listener.Addr().String() }
+
+// stop closes the listener and all connections, which ends the goroutines.
+func (p *faultProxy) stop() {
+	_ = p.listener.Close() // it may be closed already
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.open {
+		_ = conn.Close() // it may have ended
+	}
+}
+
+// draw returns a number below limit.
+func (p *faultProxy) draw(limit int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.random.IntN(limit)
+}
+
+func (p *faultProxy) acceptAll() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = client.Close() // the worker has gone, and so does the connection
+			continue
+		}
+		p.mu.Lock()
+		p.open[client] = struct{}{}
+		p.open[server] = struct{}{}
+		p.mu.Unlock()
+		go p.carryRequests(client, server)
+		go p.carryAnswers(client, server, connectionFault(p.draw(int(connectionFaultCount))))
+	}
+}
+
+func (p *faultProxy) carryRequests(client, server net.Conn) {
+	_, _ = io.Copy(server, client) // either end may end it
+	_ = server.Close()
+}
+
+// carryAnswers copies what the worker sends, with the fault.
+func (p *faultProxy) carryAnswers(client, server net.Conn, fault connectionFault) {
+	defer func() { _ = errors.Join(client.Close(), server.Close()) }() // they may have ended
+	if fault == resetSoon {
+		time.AfterFunc(time.Duration(p.draw(100))*time.Millisecond, func() {
+			_ = client.(*net.TCPConn).SetLinger(0) // Close sends a reset
+			_ = client.Close()
+		})
+	}
+	passing := 1 + p.draw(3000) // bytes until the fault begins
+	buffer := make([]byte, 4096)
+	for {
+		n, err := server.Read(buffer)
+		if err != nil {
+			return
+		}
+		answers := buffer[:n]
+		switch {
+		case fault == cutAnswer && n > passing:
+			_, _ = client.Write(answers[:passing])
+			return
+		case fault == stallAnswers && n > passing:
+			_, _ = io.Copy(io.Discard, server) // until the connection ends
+			return
+		case fault == delayAnswers:
+			time.Sleep(20 * time.Millisecond)
+		case fault == dribbleAnswers:
+			for len(answers) > 7 {
+				if _, err := client.Write(answers[:7]); err != nil {
+					return
+				}
+				answers = answers[7:]
+			}
+		}
+		passing -= n
+		if _, err := client.Write(answers); err != nil {
+			return
+		}
+	}
+}
--- a/cmd/functionrouter/load_clients_test.go
+++ b/cmd/functionrouter/load_clients_test.go
@@ -23,6 +23,7 @@
 	t       *testing.T
 	address string
 	wait    time.Duration // that a client has for each call
+	classes []string      // of the calls, in turn; safe alone if there are none
 	// callsPerConnection is how many calls a client sends before it connects anew; 0: it keeps its connection.
 	callsPerConnection int
 
@@ -107,7 +108,11 @@
 	if err := client.SetDeadline(time.Now().Add(l.wait + 500*time.Millisecond)); err != nil {
 		return err
 	}
-	if _, err := client.Write(client.callFrame("safe", id, "body of "+id, l.wait, "props", functionProperties)); err != nil {
+	class := "safe"
+	if len(l.classes) > 0 {
+		class = l.classes[client.lastSequence%uint32(len(l.classes))]
+	}
+	if _, err := client.Write(client.callFrame(class, id, class+" "+id, l.wait, "props", functionProperties)); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
 	status, body, err := client.tryResponse()
@@ -124,8 +129,33 @@
 	return nil
 }
 
-// startEchoWorker starts a worker that answers each request with its own body.
-func startEchoWorker(t *testing.T) *fakeWorker {
+// attemptCounts counts the attempts of each request that have come whole to any worker, by the request's body.
+type attemptCounts struct {
+	mu     sync.Mutex
+	byBody map[string]int
+}
+
+func (a *attemptCounts) add(body string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.byBody[body]++
+}
+
+// report fails the test for each request that was sent too often: an unsafe one more than once, since it may have run.
+func (a *attemptCounts) report(t *testing.T, maxAttempts int) {
+	t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for body, count := range a.byBody {
+		class, _, _ := strings.Cut(body, " ")
+		if class == "safe" && count > maxAttempts || class == "unsafe" && count > 1 {
+			t.Errorf("%d attempts of %q", count, body)
+		}
+	}
+}
+
+// startEchoWorker starts a worker that answers each request with its own body, and enters it in counts, if that is not nil.
+func startEchoWorker(t *testing.T, counts *attemptCounts) *fakeWorker {
 	t.Helper()
 	const backlog = 128 // as a real server has it
 	w := newFakeWorker(t)
@@ -135,6 +165,9 @@
 	w.startAccepting()
 	go func() {
 		for r := range w.requests {
+			if counts != nil {
+				counts.add(r.body)
+			}
 			r.respond("HIT", r.body)
 		}
 	}()
--- a/cmd/functionrouter/lost_answers_test.go
+++ b/cmd/functionrouter/lost_answers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -37,7 +38,7 @@
 // startPinnedRouter starts the router as a process of its own on one core, with a worker that serves all requests.
 func startPinnedRouter(t *testing.T, adaptConfig func(string) string) (h *harness, process *os.Process) {
 	t.Helper()
-	worker := startEchoWorker(t)
+	worker := startEchoWorker(t, nil)
 	h, _ = newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
 	h.configText = adaptConfig(h.configText)
 	if err := os.WriteFile(h.configPath, []byte(h.configText), 0o600); err != nil {
@@ -153,3 +154,40 @@
 	after.close()
 	expectExit(t, process)
 }
+
+// Whatever becomes of the connections to workers, and while the configuration is reloaded, each call gets one answer in
+// time, with its own body if it was served; and none is sent again that may have run and must not run twice.
+func TestCallsAreAnsweredBesideFaultyWorkers(t *testing.T) {
+	const playFor = time.Second
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			counts := &attemptCounts{byBody: map[string]int{}}
+			var listed []listedWorker
+			for i := range 3 {
+				worker := startEchoWorker(t, counts)
+				proxy := startFaultProxy(t, worker.addr, seed*10+uint64(i))
+				listed = append(listed, listedWorker{name: fmt.Sprintf("s-%d", i), addr: proxy.addr()})
+			}
+			h, _ := newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listed...)
+			process := h.startProcess(1024)
+			pinToOneCore(t, process)
+			clients := &clientLoad{t: t, address: h.listen, wait: 800 * time.Millisecond, callsPerConnection: 20,
+				classes: []string{"safe", "unsafe"}}
+			clients.start(16, seed)
+			peers := startPeers(t, h.listen, 4, seed, unfriendlyPeers...)
+			time.Sleep(playFor / 2)
+			if err := process.Signal(unix.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(playFor / 2)
+			lost := clients.stop()
+			peers.stop()
+			reportLost(t, lost)
+			counts.report(t, 3)
+			t.Logf("%d calls answered, %d served", clients.answered.Load(), clients.served.Load())
+			if clients.served.Load() == 0 {
+				t.Error("no call was served")
+			}
+		})
+	}
+}
--- a/cmd/functionrouter/process_test.go
+++ b/cmd/functionrouter/process_test.go
@@ -218,7 +218,7 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			worker := startEchoWorker(t)
+			worker := startEchoWorker(t, nil)
 			h, _ := newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
 			reader, writer, err := os.Pipe()
 			if err != nil {
