Count a call's time from when it may have come, where the machine has paused the process

Symptom: a call that came while the process was stopped for 0.6 s was answered 0.55 s after its client's time, and its worker was told too long a budget: its time was counted from when it was read. Change: the loop tells a pause by a turn or a wait that takes 50 ms longer than it should; what is read after one counts from before it. A wait that a signal interrupts is made again at once, so that the first turn after a pause has the events. Pauses of under some 250 ms within a wait can't be told from an idle wait and still count from the read.

--- a/cmd/functionrouter/lost_answers_test.go
+++ b/cmd/functionrouter/lost_answers_test.go
@@ -191,3 +191,25 @@
 		})
 	}
 }
+
+// A call comes while the process is paused, and its worker hangs: the client's time has run on, and the answer comes before
+// it is over.
+func TestCallDuringAPauseIsAnsweredInTime(t *testing.T) {
+	const wait, paused = time.Second, 600 * time.Millisecond
+	worker := startFakeWorker(t) // answers nothing
+	h, _ := newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
+	process := h.startProcess(1024)
+	c := h.connect()
+	c.checkHealth()
+	pause(t, process)
+	sent := time.Now()
+	c.sendBytes(c.callFrame("safe", "00000000000000a1", "one", wait))
+	time.Sleep(paused) // the pause is what is tested
+	if err := process.Signal(unix.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	c.response()
+	if took := time.Since(sent); took > wait {
+		t.Errorf("answered after %v of %v", took, wait)
+	}
+}
--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -90,7 +90,8 @@
 		return nil, err
 	}
 	s.router.OnRequestEnd = s.extensions.requestEnded
-	frontend := thrift.New(s.router, cfg.transport.classNames(), cfg.transport.tenantNames(), s.loop.Now, s.ready)
+	frontend := thrift.New(s.router, cfg.transport.classNames(), cfg.transport.tenantNames(), s.loop.Now, s.loop.InputTime,
+		s.ready)
 	s.loop.Listen(cfg.Listen, frontend.Accept)
 	return s, nil
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -19,6 +19,9 @@
 // sweepInterval is how often connections are checked for timeouts, and the longest that the loop sleeps.
 const sweepInterval = 200 * time.Millisecond
 
+// pauseThreshold is how much longer than it should a turn or a wait takes before the process counts as paused meanwhile.
+const pauseThreshold = 50 * time.Millisecond
+
 // Config bounds a Loop.
 type Config struct {
 	MaxAcceptedConnections int // accepted connections at once
@@ -41,6 +44,7 @@
 	datagram  map[*UDPConn]struct{}
 
 	now         time.Duration // of the present turn
+	inputTime   time.Duration // see InputTime
 	stopped     bool
 	deferred    []func() // for the next turn
 	running     []func() // the deferred calls of this turn; the array is reused
@@ -68,6 +72,7 @@
 		dialed:      map[*Conn]struct{}{},
 		datagram:    map[*UDPConn]struct{}{},
 		now:         c.now(),
+		inputTime:   c.now(),
 		readBuffer:  make([]byte, readBufferSize),
 		refusals:    logging.Throttle{Interval: refusalLogInterval},
 		interrupted: newInterruptedLog(),
@@ -111,8 +116,10 @@
 	var posted []func()
 	next := l.now
 	for !l.stopped {
-		events := l.poll.wait(l.timeUntil(next))
-		l.now = l.clock.now()
+		timeout := l.timeUntil(next)
+		waitedFrom := l.clock.now()
+		events := l.poll.wait(timeout)
+		l.startTurn(waitedFrom, timeout)
 		beginTurn(l.now)
 		l.runDeferred()
 		posted = l.runPosted(posted)
@@ -129,6 +136,24 @@
 	l.closeDescriptors()
 }
 
+// startTurn sets the times of a turn for which the loop has waited since waitedFrom, for timeout at most.
+func (l *Loop) startTurn(waitedFrom, timeout time.Duration) {
+	turnBefore := l.now
+	l.now = l.clock.now()
+	switch {
+	case waitedFrom-turnBefore > pauseThreshold:
+		l.inputTime = turnBefore
+	case l.now-waitedFrom > timeout+pauseThreshold:
+		l.inputTime = waitedFrom
+	default:
+		l.inputTime = l.now
+	}
+}
+
+// InputTime returns the earliest time at which what is read in this turn may have come: the present turn's, unless the
+// machine has paused the process before it. The peers' time has run on meanwhile.
+func (l *Loop) InputTime() time.Duration { return l.inputTime }
+
 // timeUntil returns how long the poller may wait for a turn that is due at next.
 func (l *Loop) timeUntil(next time.Duration) time.Duration {
 	if len(l.deferred) > 0 {
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -13,6 +13,9 @@
 // pause of the machine one turn learns of all that happened.
 const maxPollEvents = 1024
 
+// maxInterruptions is how often in a row a wait may be interrupted before its turn begins without events.
+const maxInterruptions = 10
+
 // token names the registration of one descriptor at the poller. No token is used twice, although descriptors are: an
 // event of a registration that has ended finds nobody.
 type token uint64
@@ -95,14 +98,18 @@
 	return token(uint32(event.Fd)) | token(uint32(event.Pad))<<32
 }
 
-// wait waits for events for at most timeout. An interrupted wait returns none.
+// wait waits for events for at most timeout. A wait that a signal interrupts ends with the events that there are: a process
+// that goes on after a pause must learn of them in its first turn.
 func (p *poller) wait(timeout time.Duration) []unix.EpollEvent {
-	roundedUp := (timeout + time.Millisecond - 1) / time.Millisecond
-	n, err := p.calls.wait(p.epollFD, p.events, int(max(roundedUp, 0)))
-	if err != nil {
-		return nil // EINTR; the descriptor and the arguments are valid
+	timeoutMs := int(max((timeout+time.Millisecond-1)/time.Millisecond, 0))
+	for range maxInterruptions {
+		n, err := p.calls.wait(p.epollFD, p.events, timeoutMs)
+		if err == nil {
+			return p.events[:n]
+		}
+		timeoutMs = 0 // EINTR; the descriptor and the arguments are valid
 	}
-	return p.events[:n]
+	return nil
 }
 
 // dispatch hands the events to their receivers, and drops those whose registration has ended meanwhile. Those of clients
--- a/internal/eventloop/poller_test.go
+++ b/internal/eventloop/poller_test.go
@@ -102,3 +102,29 @@
 	l.Run(func(time.Duration) {}, func(now time.Duration) time.Duration { return now + time.Hour })
 	l.Post(func() { t.Error("called") })
 }
+
+// What is read after a pause may have come when the pause began; else it has come just now.
+func TestInputTimeAfterPauses(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	for _, test := range []struct {
+		name           string
+		turned, waited time.Duration // what the turn before and the wait have taken
+		beforeNow      time.Duration // the input time, at least
+	}{
+		{name: "short turn and wait"},
+		{name: "wait to its end", waited: timeout},
+		{name: "pause in the turn", turned: time.Second, beforeNow: time.Second},
+		{name: "pause in the wait", waited: time.Second, beforeNow: time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := New(Config{})
+			now := l.clock.now()
+			waitedFrom := now - test.waited
+			l.now = waitedFrom - test.turned
+			l.startTurn(waitedFrom, timeout)
+			if got := l.now - l.InputTime(); got < test.beforeNow || test.beforeNow == 0 && got != 0 {
+				t.Errorf("the input time is %v before now, want %v", got, test.beforeNow)
+			}
+		})
+	}
+}
--- a/internal/frontend/thrift/harness_test.go
+++ b/internal/frontend/thrift/harness_test.go
@@ -59,8 +59,9 @@
 // newTestConnection returns the connection of a client between a fake router and a fake transport.
 func newTestConnection() (*connection, *fakeRouter, *fakeTransport) {
 	requests, transport := &fakeRouter{}, &fakeTransport{}
-	server := New(requests, []string{"dim-level", "repair-order"}, []string{"north", "south"},
-		func() time.Duration { return testNow }, func() bool { return true })
+	now := func() time.Duration { return testNow }
+	server := New(requests, []string{"dim-level", "repair-order"}, []string{"north", "south"}, now, now,
+		func() bool { return true })
 	return server.newConnection(transport, netip.AddrPort{}), requests, transport
 }
 
--- a/internal/frontend/thrift/request.go
+++ b/internal/frontend/thrift/request.go
@@ -92,7 +92,7 @@
 		Tenant:      tenant,
 		FunctionKey: functionKey,
 		Function:    policy.FunctionID(function),
-		Deadline:    s.clock() + router.AnswerBudget(milliseconds(wait)),
+		Deadline:    s.inputTime() + router.AnswerBudget(milliseconds(wait)),
 	}
 	if err := parseProperties(string(fields[fieldProperties]), &request); err != nil {
 		return router.Request{}, &invalidFieldError{fieldProperties, err}
--- a/internal/frontend/thrift/server.go
+++ b/internal/frontend/thrift/server.go
@@ -41,22 +41,25 @@
 	classes map[string]int // position in the settings, by name
 	tenants map[string]int // position in the settings, by name
 	clock   func() time.Duration
-	ready   func() bool
+	// inputTime says when, at the earliest, what is being read came.
+	inputTime func() time.Duration
+	ready     func() bool
 
 	violationLog logging.Throttle
 }
 
 // New returns a Server that hands requests to requestRouter. classes and tenants are the names from the settings, in
-// their order: a request carries the position of its own. clock is the event loop's clock; ready says what the method
-// check answers.
+// their order: a request carries the position of its own. clock is the event loop's clock, and inputTime says when what is being
+// read may have come; ready says what the method check answers.
 func New(
-	requestRouter RequestRouter, classes, tenants []string, clock func() time.Duration, ready func() bool,
+	requestRouter RequestRouter, classes, tenants []string, clock, inputTime func() time.Duration, ready func() bool,
 ) *Server {
 	return &Server{
 		router:       requestRouter,
 		classes:      positionsByName(classes),
 		tenants:      positionsByName(tenants),
 		clock:        clock,
+		inputTime:    inputTime,
 		ready:        ready,
 		violationLog: logging.Throttle{Interval: violationLogInterval},
 	}
--- a/internal/frontend/thrift/violation_test.go
+++ b/internal/frontend/thrift/violation_test.go
@@ -102,7 +102,7 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(&lines, nil)))
 
 	now := testNow
-	server := New(&fakeRouter{}, nil, nil, func() time.Duration { return now }, nil)
+	server := New(&fakeRouter{}, nil, nil, func() time.Duration { return now }, nil, nil)
 	violate := func() {
 		server.newConnection(&fakeTransport{}, netip.AddrPort{}).OnData([]byte{0, 0, 0x60, 0})
 	}
