--- /dev/null
+++ b/internal/discovery/fuzz_test.go
@@ -0,0 +1,14 @@
+package discovery
+
+import "testing"
+
+// Whatever the directory sends, a reply is parsed or refused, and what is parsed can be applied.
+func FuzzParseResponse(f *testing.F) {
+	f.Add(encodeQuery(7, serviceName))
+	f.Fuzz(func(t *testing.T, message []byte) {
+		if _, r, err := parseResponse(message); err == nil {
+			list := newEndpointList()
+			_, _ = list.update(r) // an unusable list is an error, and never a panic
+		}
+	})
+}
