--- a/cmd/functionrouter/lost_answers_test.go
+++ b/cmd/functionrouter/lost_answers_test.go
@@ -35,11 +35,28 @@
  "maxOpen":20000,"maxRetryAfterMs":1000,"mayProbe":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":32},
  "peersTotal":1,"rules":{"coldFrom":0.18,"coldMs":17000,"drainGraceMs":1000,"fallMs":1000,"fallMultiple":2},`
 
+// maxAttemptsInService is the limit on attempts in serviceSettings.
+const maxAttemptsInService = 3
+
+// withDeadline returns the text of a configuration with another deadline for all classes.
+func withDeadline(text string, deadline time.Duration) string {
+	text = strings.ReplaceAll(text, `"goalTimeMs":3000`, `"goalTimeMs":200`)
+	return strings.ReplaceAll(text, `"deadlineMs":6000`, fmt.Sprintf(`"deadlineMs":%d`, deadline.Milliseconds()))
+}
+
 // startPinnedRouter starts the router as a process of its own on one core, with a worker that serves all requests.
 func startPinnedRouter(t *testing.T, adaptConfig func(string) string) (h *harness, process *os.Process) {
 	t.Helper()
-	worker := startEchoWorker(t, nil)
-	h, _ = newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
+	return startPinnedProcess(t, adaptConfig, listedWorker{name: "s-1", addr: startEchoWorker(t, nil).addr})
+}
+
+// startPinnedProcess starts the router as a process of its own on one core. adaptConfig changes the text of its
+// configuration.
+func startPinnedProcess(
+	t *testing.T, adaptConfig func(string) string, listed ...listedWorker,
+) (h *harness, process *os.Process) {
+	t.Helper()
+	h, _ = newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listed...)
 	h.configText = adaptConfig(h.configText)
 	if err := os.WriteFile(h.configPath, []byte(h.configText), 0o600); err != nil {
 		t.Fatal(err)
@@ -96,16 +113,9 @@
 // After SIGTERM clients may go on sending on their open connections until the process is killed, at the earliest after
 // the longest deadline of the deployment and 0.7 s. Each call gets an answer.
 func TestCallsAreAnsweredUntilTheKill(t *testing.T) {
-	for _, test := range []struct{ name, deadlineMs string }{{"short deadlines", "300"}, {"long deadlines", "3000"}} {
-		t.Run(test.name, func(t *testing.T) {
-			h, process := startPinnedRouter(t, func(text string) string {
-				text = strings.ReplaceAll(text, `"goalTimeMs":3000`, `"goalTimeMs":200`)
-				return strings.ReplaceAll(text, `"deadlineMs":6000`, `"deadlineMs":`+test.deadlineMs)
-			})
-			deadline, err := time.ParseDuration(test.deadlineMs + "ms")
-			if err != nil {
-				t.Fatal(err)
-			}
+	for _, deadline := range []time.Duration{300 * time.Millisecond, 3 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			h, process := startPinnedRouter(t, func(text string) string { return withDeadline(text, deadline) })
 			clients := &clientLoad{t: t, address: h.listen, wait: deadline}
 			clients.start(24, 1)
 			time.Sleep(200 * time.Millisecond)
@@ -126,13 +136,8 @@
 // before the earliest kill.
 func TestHangingCallIsAnsweredBeforeTheKill(t *testing.T) {
 	worker := startFakeWorker(t) // answers nothing
-	h, _ := newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listedWorker{name: "s-1", addr: worker.addr})
-	text := strings.ReplaceAll(h.configText, `"goalTimeMs":3000`, `"goalTimeMs":200`)
-	text = strings.ReplaceAll(text, `"deadlineMs":6000`, `"deadlineMs":300`)
-	if err := os.WriteFile(h.configPath, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	process := h.startProcess(1024)
+	h, process := startPinnedProcess(t, func(text string) string { return withDeadline(text, 300*time.Millisecond) },
+		listedWorker{name: "s-1", addr: worker.addr})
 	before, after := h.connect(), h.connect()
 	before.sendCall("unsafe", "00000000000000a1", "before SIGTERM")
 	worker.nextRequest()
@@ -155,6 +160,21 @@
 	expectExit(t, process)
 }
 
+// startBesideFaultyWorkers starts the router as a process of its own on one core, with three workers that are behind a
+// faultProxy each. adaptConfig changes the text of its configuration.
+func startBesideFaultyWorkers(
+	t *testing.T, seed uint64, counts *attemptCounts, adaptConfig func(string) string,
+) (h *harness, process *os.Process) {
+	t.Helper()
+	var listed []listedWorker
+	for i := range 3 {
+		worker := startEchoWorker(t, counts)
+		proxy := startFaultProxy(t, worker.addr, seed*10+uint64(i))
+		listed = append(listed, listedWorker{name: fmt.Sprintf("s-%d", i), addr: proxy.addr()})
+	}
+	return startPinnedProcess(t, adaptConfig, listed...)
+}
+
 // Whatever becomes of the connections to workers, and while the configuration is reloaded, each call gets one answer in
 // time, with its own body if it was served; and none is sent again that may have run and must not run twice.
 func TestCallsAreAnsweredBesideFaultyWorkers(t *testing.T) {
@@ -162,15 +182,7 @@
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			counts := &attemptCounts{byBody: map[string]int{}}
-			var listed []listedWorker
-			for i := range 3 {
-				worker := startEchoWorker(t, counts)
-				proxy := startFaultProxy(t, worker.addr, seed*10+uint64(i))
-				listed = append(listed, listedWorker{name: fmt.Sprintf("s-%d", i), addr: proxy.addr()})
-			}
-			h, _ := newHarness(t, newFakeDirectory(t), 1024, serviceSettings, listed...)
-			process := h.startProcess(1024)
-			pinToOneCore(t, process)
+			h, process := startBesideFaultyWorkers(t, seed, counts, func(text string) string { return text })
 			clients := &clientLoad{t: t, address: h.listen, wait: 800 * time.Millisecond, callsPerConnection: 20,
 				classes: []string{"safe", "unsafe"}}
 			clients.start(16, seed)
@@ -183,7 +195,7 @@
 			lost := clients.stop()
 			peers.stop()
 			reportLost(t, lost)
-			counts.report(t, 3)
+			counts.report(t, maxAttemptsInService)
 			t.Logf("%d calls answered, %d served", clients.answered.Load(), clients.served.Load())
 			if clients.served.Load() == 0 {
 				t.Error("no call was served")
@@ -192,6 +204,32 @@
 	}
 }
 
+// All at once: workers behind faults, unfriendly peers, and SIGTERM, after which clients go on sending on open connections
+// until the earliest kill. Each call is answered before it.
+func TestCallsAreAnsweredUntilTheKillBesideFaults(t *testing.T) {
+	const deadline, untilKill = 300 * time.Millisecond, time.Second
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			counts := &attemptCounts{byBody: map[string]int{}}
+			h, process := startBesideFaultyWorkers(t, seed, counts, func(text string) string {
+				return withDeadline(text, deadline)
+			})
+			clients := &clientLoad{t: t, address: h.listen, wait: deadline, classes: []string{"safe", "unsafe"}}
+			clients.start(16, seed)
+			peers := startPeers(t, h.listen, 4, seed, unfriendlyPeers...)
+			time.Sleep(200 * time.Millisecond)
+			if err := process.Signal(unix.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(untilKill)
+			peers.stop()
+			reportLost(t, clients.stop())
+			counts.report(t, maxAttemptsInService)
+			expectExit(t, process)
+		})
+	}
+}
+
 // A call comes while the process is paused, and its worker hangs: the client's time has run on, and the answer comes before
 // it is over.
 func TestCallDuringAPauseIsAnsweredInTime(t *testing.T) {
