Let a dial fail whose peer has closed by the time it opens

Symptom, found in the review: the event loop of before reported such a dial as closed, and its calls were sent over another one; the new one wrote them to the closed connection, so that they counted as ones that may have run.

--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -80,7 +81,7 @@
 		err = nil // the poller tells how it ends
 	}
 	if err == nil {
-		err = c.startPolling(unix.EPOLLOUT)
+		err = c.startPolling(unix.EPOLLOUT | unix.EPOLLRDHUP)
 	}
 	if err != nil {
 		c.closeDescriptor()
@@ -88,9 +89,13 @@
 	}
 }
 
-// finishConnect handles the end of a connect that was in progress.
-func (c *Conn) finishConnect() {
+// finishConnect handles the end of a connect that was in progress. A peer that has closed the connection by now has read
+// nothing: that is a dial that failed.
+func (c *Conn) finishConnect(events uint32) {
 	err := c.loop.calls.connectResult(c.fd)
+	if err == nil && events&(unix.EPOLLRDHUP|unix.EPOLLHUP) != 0 {
+		err = net.ErrClosed
+	}
 	if err == nil && c.isConnectedToItself() {
 		err = unix.ECONNREFUSED
 	}
