--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -75,7 +75,7 @@
 func (c *Conn) onEvents(events uint32) {
 	const ended = unix.EPOLLERR | unix.EPOLLHUP
 	if c.dial != nil {
-		c.finishConnect(events)
+		c.finishConnect()
 		return
 	}
 	if events&unix.EPOLLOUT != 0 {
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -81,7 +80,7 @@
 		err = nil // the poller tells how it ends
 	}
 	if err == nil {
-		err = c.startPolling(unix.EPOLLOUT | unix.EPOLLRDHUP)
+		err = c.startPolling(unix.EPOLLOUT)
 	}
 	if err != nil {
 		c.closeDescriptor()
@@ -89,13 +88,9 @@
 	}
 }
 
-// finishConnect handles the end of a connect that was in progress. A peer that has closed the connection by now has read
-// nothing: that is a dial that failed.
-func (c *Conn) finishConnect(events uint32) {
+// finishConnect handles the end of a connect that was in progress.
+func (c *Conn) finishConnect() {
 	err := c.loop.calls.connectResult(c.fd)
-	if err == nil && events&(unix.EPOLLRDHUP|unix.EPOLLHUP) != 0 {
-		err = net.ErrClosed
-	}
 	if err == nil && c.isConnectedToItself() {
 		err = unix.ECONNREFUSED
 	}
