Try a failed accept again at once, and rest only while accepts go on failing

Cause: the listener rested for 20 ms after each failure, so that some 200 connections a second were accepted, and the others waited for longer than their calls' time. Change: one failure costs nothing; further ones in a row rest the listener for 1 to 20 ms. Test: TestAcceptPauses, -race -count=20 passed.

--- a/internal/eventloop/faults_test.go
+++ b/internal/eventloop/faults_test.go
@@ -239,3 +239,36 @@
 		t.Errorf("received %q", got)
 	}
 }
+
+// A fault that passes at once costs no time: connections must not wait for a listener that rests. One that lasts makes it
+// rest for longer and longer, up to a bound.
+func TestAcceptPauses(t *testing.T) {
+	l := New(Config{MaxAcceptedConnections: 10, MaxUnreadBytes: 1 << 20})
+	calls := &faultyCalls{}
+	l.calls = calls
+	l.Listen("127.0.0.1:0", func(c *Conn) AcceptedHandler {
+		return &echoHandler{conn: c, closed: make(chan error, 1)}
+	})
+	check(t, l.Start())
+	t.Cleanup(l.closeDescriptors)
+	ln := l.listeners[0]
+	for range 5 { // each connection meets one failure
+		dialLoop(t, l)
+		calls.acceptErrors = []error{unix.ENFILE}
+		ln.onEvents(0)
+		if ln.paused {
+			t.Fatal("the listener rests after a single failure")
+		}
+	}
+	if len(l.accepted) != 5 {
+		t.Errorf("%d connections were accepted", len(l.accepted))
+	}
+	for _, want := range []time.Duration{1, 2, 4, 8, 16, 20, 20, 20} {
+		calls.acceptErrors = []error{unix.ENFILE, unix.ENFILE}
+		ln.onEvents(0)
+		if got := ln.resumeAt - l.now; got != want*time.Millisecond {
+			t.Errorf("the listener rests for %v, want %v", got, want*time.Millisecond)
+		}
+		calls.acceptErrors = nil
+	}
+}
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -19,8 +19,10 @@
 	// the ones that are open.
 	maxAcceptsPerTurn = 64
 
-	// acceptRetryInterval is the time between two attempts to accept while accepting fails.
-	acceptRetryInterval = 20 * time.Millisecond
+	// A failed accept is tried again at once. While further ones fail, the listener rests between them, from
+	// minAcceptPause on and twice as long each time, up to maxAcceptPause.
+	minAcceptPause = time.Millisecond
+	maxAcceptPause = 20 * time.Millisecond
 
 	// acceptLogInterval is the least time between two log lines on failed accepts.
 	acceptLogInterval = time.Second
@@ -37,6 +39,7 @@
 
 	fd       int // -1 while closed
 	token    token
+	failures int           // accepts that have failed in a row
 	paused   bool          // it is not polled, since accepting fails
 	resumeAt time.Duration // when it is polled again
 	loggedAt time.Duration // when a failed accept was last logged; 0: never
@@ -117,6 +120,7 @@
 	for range maxAcceptsPerTurn {
 		fd, peer, err := ln.loop.calls.accept(ln.fd)
 		if err == nil {
+			ln.failures = 0
 			ln.loop.admit(ln, fd, addrPortOf(peer))
 			continue
 		}
@@ -139,11 +143,21 @@
 	if isOneOf(err, unix.EMFILE) && ln.loop.evict((*Conn).isAbandoned) {
 		return true
 	}
+	ln.failures++
+	if ln.failures == 1 {
+		return true
+	}
 	ln.pause(err)
 	return false
 }
 
-// pause stops polling the listener for acceptRetryInterval.
+// pauseAfter returns how long the listener rests after so many failures in a row.
+func pauseAfter(failures int) time.Duration {
+	doublings := min(max(failures-2, 0), 8) // the first pause is after the second failure
+	return min(minAcceptPause<<doublings, maxAcceptPause)
+}
+
+// pause stops polling the listener for a while.
 func (ln *listener) pause(err error) {
 	now := ln.loop.now
 	if ln.loggedAt == 0 || now-ln.loggedAt >= acceptLogInterval {
@@ -154,7 +168,7 @@
 		return // it stays polled, and is tried again in the next turn
 	}
 	ln.paused = true
-	ln.resumeAt = now + acceptRetryInterval
+	ln.resumeAt = now + pauseAfter(ln.failures)
 }
 
 // resumeAccepting polls the listeners again whose pause is over.
