--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,7 +12,8 @@
 )
 
 var cases = map[string]func(*Record) int{
-	"short-array":  shortArray,
+	"short-array": shortArray,
+	"withdrawn":   withdrawn,
 }
 
 func main() {
