--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,8 +12,9 @@
 )
 
 var cases = map[string]func(*Record) int{
-	"short-array": shortArray,
-	"withdrawn":   withdrawn,
+	"short-array":  shortArray,
+	"withdrawn":    withdrawn,
+	"unknown-keys": unknownKeys,
 }
 
 func main() {
