--- a/review/standin/unknown_keys.go
+++ b/review/standin/bad_flood.go
@@ -9,9 +9,17 @@
 	"time"
 )
 
-// unknownKeys: bad clients send hundreds of requests at once, again and again, with ids that no runner knows: each names
+// unknownKeys and longWaits are no cases; see REPORT.md.
+func unknownKeys(record *Record) int { return badFlood(record, hexID, "3000") }
+
+// longWaits: the same with one function in all requests and a wait of ten minutes, a figure that is out of range.
+func longWaits(record *Record) int {
+	return badFlood(record, func() string { return "00000000000000ff" }, "600000")
+}
+
+// badFlood: bad clients send hundreds of requests at once, again and again, with ids that no runner knows: each names
 // another function, and the runners answer 'error'. The router must not be killed for memory.
-func unknownKeys(record *Record) int {
+func badFlood(record *Record, badKey func() string, badWait string) int {
 	const (
 		memoryMB = 64
 		clients  = 16
@@ -64,7 +72,7 @@
 		for seq := uint32(1); ; time.Sleep(pause) {
 			var out []byte
 			for range burst {
-				out = append(out, executeFrame(seq, nil, "class", "transfer", "id", hexID(), "wait", "3000", "key", hexID(), "props", props)...)
+				out = append(out, executeFrame(seq, nil, "class", "transfer", "id", hexID(), "wait", badWait, "key", badKey(), "props", props)...)
 				seq++
 			}
 			if _, err := conn.Write(out); err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,9 @@
 var cases = map[string]func(*Record) int{
 	"short-array":  shortArray,
 	"withdrawn":    withdrawn,
+	"over-limit":   overLimit,
 	"unknown-keys": unknownKeys,
+	"long-waits":   longWaits,
 }
 
 func main() {
