Serve an answer of a worker only if it has the four elements of the protocol

Cause: parseAnswer took an array of two or three elements for a whole answer and assumed the missing ones empty. A worker's answer whose array length is corrupted to 2 or 3 ended the attempt as served before its rest was looked at.

Change: the form is checked whole before anything of an answer is used: four elements, a known status, fields that are "-" or name=value pairs; the byte after an answer, if it has arrived, must begin another one. Lengths have no leading zeros. A load report has each name once, with a finite decimal number (internal/decimal); an instance count is not negative.

Tests: the rows and answers that had two elements, or empty fields, now have four and "-", because the protocol gives no other form; two, three and five elements and empty fields are rows that must be refused.

--- a/cmd/functionrouter/fake_worker_test.go
+++ b/cmd/functionrouter/fake_worker_test.go
@@ -131,7 +131,7 @@
 		case len(words) == 4 && words[0] == "RUN":
 			w.requests <- workerRequest{conn: conn, id: words[1], body: words[3]}
 		case len(words) == 2 && words[0] == "NOOP":
-			if _, err := fmt.Fprintf(conn, "*2\r\n$%d\r\n%s\r\n$4\r\nPONG\r\n", len(words[1]), words[1]); err != nil {
+			if _, err := io.WriteString(conn, workerRequest{id: words[1]}.reply("PONG", "")); err != nil {
 				return
 			}
 		}
@@ -207,7 +207,7 @@
 	}
 }
 
-// reply returns a response in RESP. Its third element is "-", which has no meaning. The status is HIT for a result,
+// reply returns a response in RESP. Its third element is "-", which means that there are no fields. The status is HIT for a result,
 // FAULT for an error, and so on.
 func (r workerRequest) reply(status, body string) string {
 	return fmt.Sprintf("*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$1\r\n-\r\n$%d\r\n%s\r\n",
--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -13,8 +13,8 @@
 	maxBulkSize = 16<<10 + 64
 	// maxAnswerSize is the limit on an answer without its final CRLF: a body, and 4 KiB for the other elements.
 	maxAnswerSize = maxBulkSize + 4<<10
-	// maxElements is the limit on the number of array elements. An answer has two to four; parseAnswer ignores others.
-	maxElements = 8
+	// maxElements is the limit on the number of array elements. The elements of a longer array are not waited for.
+	maxElements = answerElements
 	// maxLengthLine is the limit on a line such as "*4" or "$16384" with its CRLF. The longest line that the other
 	// limits allow has 8 bytes.
 	maxLengthLine = 12
@@ -100,9 +100,12 @@
 	return number, start + newline + 1, nil
 }
 
-// parseLength parses a decimal number from 0 to limit. It stops at the first digit that makes the number exceed limit,
+// parseLength parses a decimal number from 0 to limit without leading zeros. It stops at the first digit that makes the number exceed limit,
 // so that the number can't overflow. It fails with errMalformedAnswer if digits is not such a number.
 func parseLength(digits []byte, limit int) (int, error) {
+	if len(digits) > 1 && digits[0] == '0' {
+		return 0, malformedAnswerf("length %q has a leading zero", digits)
+	}
 	number := 0
 	for _, digit := range digits {
 		if digit < '0' || digit > '9' {
--- a/internal/backend/endings_test.go
+++ b/internal/backend/endings_test.go
@@ -56,7 +56,7 @@
 	}{
 		{"healthy worker", 1, func(transport *fakeTransport) {
 			transport.handler.OnOpen(nil)
-			transport.handler.OnData([]byte("*2\r\n$2\r\np7\r\n$4\r\nPONG\r\n"))
+			transport.handler.OnData(encodeAnswer("p7", "PONG", ""))
 		}, policy.Served},
 		{"worker that refuses the dial", 1, func(transport *fakeTransport) {
 			transport.handler.OnOpen(errors.New("refused"))
--- a/internal/backend/keep_alive_test.go
+++ b/internal/backend/keep_alive_test.go
@@ -78,7 +78,7 @@
 	p := newTestPool()
 	transport := p.startOnOpenConnection(firstAttempt(1), hexID(0xa1))
 	p.Sweep(keepAliveAfter + SweepInterval)
-	transport.handler.OnData([]byte("*2\r\n$2\r\nn1\r\n$4\r\nPONG\r\n"))
+	transport.handler.OnData(encodeAnswer("n1", "PONG", ""))
 	p.start(firstAttempt(2), hexID(0xb2))
 	if len(p.transports) != 1 || transport.Closed {
 		t.Errorf("%d connections, want 1; first connection closed: %v, want false", len(p.transports), transport.Closed)
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"functionrouter/internal/router"
-	"functionrouter/policy"
 )
 
 const (
@@ -73,7 +72,8 @@
 }
 
 // handleAnswers handles the complete answers at the beginning of b and returns the remaining bytes. It fails with
-// errMalformedAnswer.
+// errMalformedAnswer. An answer is handled only if no byte has arrived after it or the next byte begins another answer:
+// a corrupted length, which ends an answer too early or within the next one, shows only in the byte that follows.
 func (c *connection) handleAnswers(b []byte) (rest []byte, err error) {
 	var buffer [maxElements][]byte
 	for len(b) > 0 {
@@ -84,10 +84,13 @@
 		if size == 0 {
 			break
 		}
+		b = b[size:]
+		if len(b) > 0 && b[0] != arrayTypeByte {
+			return nil, malformedAnswerf("answer is followed by %q, want %q", b[0], arrayTypeByte)
+		}
 		if err := c.handleAnswer(elements); err != nil {
 			return nil, err
 		}
-		b = b[size:]
 	}
 	return b, nil
 }
@@ -107,32 +110,31 @@
 	if call == nil {
 		return nil
 	}
-	outcome, err := a.outcomeFor(call)
-	if err != nil {
+	if err := a.checkFor(call); err != nil {
 		return err
 	}
 	c.release(call)
 	c.lastUsedAt = c.pool.now
 	c.keepAlive.latestSendOfAnsweredCall = max(c.keepAlive.latestSendOfAnsweredCall, call.sentAt)
-	c.pool.endAnswered(call, outcome, a)
+	c.pool.endAnswered(call, a)
 	return nil
 }
 
 // endAnswered reports the result of an answered call. It copies the body, because the ResultHandler keeps it.
-func (p *Pool) endAnswered(call *pendingCall, outcome policy.Outcome, a answer) {
+func (p *Pool) endAnswered(call *pendingCall, a answer) {
 	switch call.kind {
 	case attemptCall:
 		delete(p.attempts, call.attemptID)
 		p.results.AttemptEnded(call.attemptID, router.AttemptResult{
-			Outcome:        outcome,
+			Outcome:        a.outcome,
 			InstanceStatus: a.instanceStatus(),
 			Body:           bytes.Clone(a.body),
 			LoadReport:     p.loadReport(a),
 		})
 	case loadCommandCall:
-		p.results.LoadCommandEnded(call.controlID, outcome, a.instanceCount())
+		p.results.LoadCommandEnded(call.controlID, a.outcome, a.instanceCount())
 	case healthCheckCall:
-		p.results.HealthCheckEnded(call.controlID, outcome, p.loadReport(a))
+		p.results.HealthCheckEnded(call.controlID, a.outcome, p.loadReport(a))
 	case keepAliveCall: // not reported; handleAnswer has updated connection.keepAlive
 	}
 }
--- a/internal/backend/wire_test.go
+++ b/internal/backend/wire_test.go
@@ -73,13 +73,15 @@
 		want           attemptResult
 	}{
 		{"HIT", "-", attemptResult{policy.Served, policy.InstanceUnknown, nil}},
-		{"NONE", "", attemptResult{policy.FunctionNotLoaded, policy.InstanceUnknown, nil}},
+		{"NONE", "-", attemptResult{policy.FunctionNotLoaded, policy.InstanceUnknown, nil}},
 		{"SHED", "detail=hot", attemptResult{policy.WorkerOverloaded, policy.InstanceWarm, nil}},
 		{"FAULT", "detail=started", attemptResult{policy.Errored, policy.LoadStarted, nil}},
 		{"LATE", "detail=waited,use=inflight:7", attemptResult{policy.NotSent, policy.LoadAwaited, []float64{7}}},
 		{"HIT", "use=util:0.5;inflight:1.5,detail=broken", attemptResult{policy.Served, policy.LoadFailed, []float64{1.5}}},
 		{"HIT", "use=util:0.5,detail=other", attemptResult{policy.Served, policy.InstanceUnknown, nil}},
 		{"HIT", "use=inflight:many", attemptResult{policy.Served, policy.InstanceUnknown, nil}},
+		{"HIT", "use=inflight:NaN", attemptResult{policy.Served, policy.InstanceUnknown, nil}},
+		{"HIT", "use=inflight:1;inflight:2", attemptResult{policy.Served, policy.InstanceUnknown, nil}},
 	} {
 		t.Run(test.status+" "+test.fields, func(t *testing.T) {
 			p := newTestPool()
@@ -104,9 +106,16 @@
 	const id = "00000000000000a1"
 	for name, elements := range map[string][]string{
 		"one element":                          {id},
-		"unknown status":                       {id, "hit"},
-		"health check's status for an attempt": {id, "PONG"},
-		"attempt's status for a health check":  {"p9", "HIT"},
+		"two elements":                         {id, "HIT"},
+		"three elements":                       {id, "HIT", "-"},
+		"five elements":                        {id, "HIT", "-", "body", ""},
+		"unknown status":                       {id, "hit", "-", ""},
+		"unknown status under an unknown ID":   {"unknown", "hit", "-", ""},
+		"empty fields":                         {id, "HIT", "", "body"},
+		"field without a name":                 {id, "HIT", "detail=hot,=1", "body"},
+		"field without a value":                {id, "HIT", "detail=hot,use", "body"},
+		"health check's status for an attempt": {id, "PONG", "-", ""},
+		"attempt's status for a health check":  {"p9", "HIT", "-", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			logged := captureLog(t)
