Refuse requests in forms that the protocol does not have

Change: a message ends where its frame ends; nothing occurs twice; numbers are decimal; execute and check must be calls. The client gets a Lost for a field, and a close for a message that can't be read, as for all others.

--- a/internal/frontend/thrift/call.go
+++ b/internal/frontend/thrift/call.go
@@ -76,7 +76,7 @@
 // no reply, even if the client sent it as a call instead of a oneway message.
 func (c *connection) handleInterrupt(d *decoder) error {
 	var sequenceID uint32
-	err := d.structFields(func(fieldID uint16, t valueType) bool {
+	err := d.messageArguments(func(fieldID uint16, t valueType) bool {
 		if fieldID != interruptSequenceIDField || t != typeI32 {
 			return false
 		}
@@ -94,7 +94,7 @@
 
 // handleCheck replies whether the server is ready for requests. It ignores the method's argument.
 func (c *connection) handleCheck(d *decoder, sequenceID uint32) error {
-	if err := d.structFields(func(uint16, valueType) bool { return false }); err != nil {
+	if err := d.messageArguments(func(uint16, valueType) bool { return false }); err != nil {
 		return err
 	}
 	head, tail := encodeAnswer(methodCheck, sequenceID, 0, c.server.ready())
--- a/internal/frontend/thrift/decoder.go
+++ b/internal/frontend/thrift/decoder.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"slices"
 )
 
 // valueType is a type of value in the binary protocol.
@@ -30,6 +31,7 @@
 const (
 	maxMethodNameBytes = 64   // the reply to a call of an unknown method repeats the name
 	maxRequestFields   = 64   // entries in the map of a request, which is allocated before the entries are decoded
+	maxArguments       = 2    // arguments of a method
 	maxNesting         = 8    // structs and containers around a value; skip recurses once for each
 	maxElements        = 1024 // elements of a skipped container, whose count is not compared with the message's length
 )
@@ -87,26 +89,42 @@
 // the message.
 func (d *decoder) byteString() []byte { return d.next(int(int32(d.uint32()))) }
 
+// messageArguments decodes the struct of a method's arguments like structFields, and the end of the message. It records
+// a failure if bytes follow the struct: the frame's length is wrong, and the bytes may belong to another message.
+func (d *decoder) messageArguments(decode func(fieldID uint16, t valueType) bool) error {
+	_ = d.structFields(decode) // a failure is kept in d.err
+	if len(d.remaining) > 0 {
+		d.fail(fmt.Errorf("%w: %d", errTrailingBytes, len(d.remaining)))
+	}
+	return d.err
+}
+
 // structFields decodes the outermost struct of a message, such as the arguments of a method, and calls decode for each
 // field. decode either decodes the field's value and returns true, or decodes nothing and returns false; structFields
-// then skips the value. If a field occurs twice, decode is called for both. structFields returns the decoder's first
-// failure.
+// then skips the value. A field must not occur twice. structFields returns the decoder's first failure.
 func (d *decoder) structFields(decode func(fieldID uint16, t valueType) bool) error {
+	decoded := make([]uint16, 0, maxArguments)
 	for d.err == nil {
 		t := d.valueType()
 		if t == typeStop {
 			break
 		}
 		fieldID := d.uint16()
-		if d.err == nil && !decode(fieldID, t) {
+		switch {
+		case d.err != nil:
+		case slices.Contains(decoded, fieldID):
+			d.fail(fmt.Errorf("%w: field %d", errDuplicateField, fieldID))
+		case decode(fieldID, t):
+			decoded = append(decoded, fieldID)
+		default:
 			d.skip(t, 1) // only the outermost struct encloses the value
 		}
 	}
 	return d.err
 }
 
-// stringMap decodes the map of a request's fields. It copies the keys, and the values point into the message. If a key
-// occurs twice, the last value is used. The key and value types of an empty map are not checked.
+// stringMap decodes the map of a request's fields. It copies the keys, and the values point into the message. A key must
+// not occur twice. The key and value types of an empty map are not checked.
 func (d *decoder) stringMap() map[string][]byte {
 	keyType := d.valueType()
 	mapValueType := d.valueType()
@@ -126,6 +144,10 @@
 		if d.err != nil {
 			return nil
 		}
+		if _, duplicate := values[string(key)]; duplicate {
+			d.fail(fmt.Errorf("%w: key %.32q", errDuplicateField, key))
+			return nil
+		}
 		values[string(key)] = value
 	}
 	return values
--- a/internal/frontend/thrift/errors.go
+++ b/internal/frontend/thrift/errors.go
@@ -19,6 +19,8 @@
 	errNestedTooDeep     = violation("value nested too deeply")
 	errTooManyElements   = violation("too many elements")
 	errNotStringMap      = violation("request fields are not a map of strings to strings")
+	errDuplicateField    = violation("duplicate field")
+	errTrailingBytes     = violation("bytes after the end of the message")
 	errBodyTooLarge      = violation("request body too large")
 	errSequenceID        = violation("invalid sequence ID")
 )
--- a/internal/frontend/thrift/message.go
+++ b/internal/frontend/thrift/message.go
@@ -76,7 +76,8 @@
 }
 
 // handleMessage handles the message in a frame. An error is a protocol violation. An interrupt may be a oneway message
-// or a call; any other oneway message is ignored.
+// or a call. A oneway message of an unknown method is ignored; execute and check must be calls, because a client that
+// sends them waits for a reply.
 func (c *connection) handleMessage(frame []byte) error {
 	d := &decoder{remaining: frame}
 	header, err := d.decodeHeader()
@@ -95,8 +96,8 @@
 	case isCall:
 		c.transport.Write(encodeUnknownMethod(header.method, header.sequenceID))
 		return nil
-	case isOneway:
-		return nil // a oneway message gets no reply, even if its method is execute or check
+	case isOneway && header.method != methodExecute && header.method != methodCheck:
+		return nil // a oneway message gets no reply
 	}
 	return fmt.Errorf("%w: %v %q", errUnexpectedMessage, header.messageType.describe(), header.method)
 }
--- a/internal/frontend/thrift/request.go
+++ b/internal/frontend/thrift/request.go
@@ -4,9 +4,10 @@
 	"errors"
 	"fmt"
 	"math"
-	"strconv"
+	"slices"
 	"strings"
 
+	"functionrouter/internal/decimal"
 	"functionrouter/internal/frontend/fieldvalue"
 	"functionrouter/internal/router"
 	"functionrouter/policy"
@@ -27,6 +28,8 @@
 	propertyMemory      = "memory_mb" // memory of one instance, in MiB
 	propertyConcurrency = "lanes"     // number of requests that one instance runs concurrently
 	propertyLoadTime    = "load_ms"   // usual time for loading an instance, in milliseconds
+
+	knownProperties = 3
 )
 
 // The reasons why a field is invalid.
@@ -34,6 +37,7 @@
 	errUnknownClass = errors.New("unknown class")
 	errHexID        = errors.New("not 16 lower-case hex digits")
 	errOutOfRange   = errors.New("out of range")
+	errDuplicate    = errors.New("duplicate")
 )
 
 // invalidFieldError reports an invalid field of a request.
@@ -49,7 +53,7 @@
 // decodeExecuteArguments decodes the arguments of execute: the request's fields, by name, and its body. The fields'
 // values and the body point into the frame. An error is a protocol violation.
 func decodeExecuteArguments(d *decoder) (fields map[string][]byte, body []byte, err error) {
-	err = d.structFields(func(fieldID uint16, t valueType) bool {
+	err = d.messageArguments(func(fieldID uint16, t valueType) bool {
 		switch {
 		case fieldID == executeFieldsField && t == typeMap:
 			fields = d.stringMap()
@@ -105,12 +109,18 @@
 }
 
 // parseProperties sets the request's memory, concurrency and load time from the text of fieldProperties, which may be
-// empty. If a property occurs twice, the last value is used. After an error the request must not be used.
+// empty. A property must not occur twice. After an error the request must not be used.
 func parseProperties(text string, request *router.Request) error {
-	for text != "" {
-		var property string
-		property, text, _ = strings.Cut(text, ";")
+	if text == "" {
+		return nil
+	}
+	names := make([]string, 0, knownProperties)
+	for property := range strings.SplitSeq(text, ";") {
 		name, number, _ := strings.Cut(property, ":")
+		if slices.Contains(names, name) {
+			return fmt.Errorf("property %q: %w", name, errDuplicate)
+		}
+		names = append(names, name)
 		if err := parseProperty(name, number, request); err != nil {
 			return fmt.Errorf("property %q: %w", name, err)
 		}
@@ -136,9 +146,9 @@
 	return err
 }
 
-// parseNumber parses a number from 0 to maximum in any syntax that strconv.ParseFloat accepts: 1500, 1.5e3, 0x10p4.
+// parseNumber parses a number from 0 to maximum in decimal notation.
 func parseNumber(text string, maximum float64) (float64, error) {
-	value, err := strconv.ParseFloat(text, 64)
+	value, err := decimal.Parse(text)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/frontend/thrift/request_test.go
+++ b/internal/frontend/thrift/request_test.go
@@ -43,11 +43,11 @@
 	}{
 		{classValue, []string{"", "nonsense", "repair-order\r\n"}},
 		{idValue, []string{"", "9B1F03AA5C7E2D41", "9b1f03aa5c7e2d4", "9b1f03aa5c7e2d411", "9b1f03aa5c7e2d4\n"}},
-		{waitValue, []string{"", "-1", "NaN", "Inf", "1e300", "600001", "0x10p400"}},
+		{waitValue, []string{"", "-1", "NaN", "Inf", "1e300", "600001", "0x10p400", "0x5dcp0", "0x1p4", " 1500"}},
 		{keyValue, []string{"", "7F3A9C21E0B4D655", "7f3a9c21e0b4d65g"}},
 		{propertiesValue, []string{
 			"memory_mb:-1", "memory_mb:NaN", "memory_mb:1e9", "lanes:1e8", "lanes:-0.1", "load_ms:1e7", "load_ms:",
-			"lanes", "other:x",
+			"lanes", "other:x", "load_ms:0x1p4", "lanes:2;lanes:4", "lanes:2;", ";",
 		}},
 	} {
 		for _, value := range test.values {
--- a/internal/frontend/thrift/violation_test.go
+++ b/internal/frontend/thrift/violation_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -60,6 +61,15 @@
 	arguments := func(b ...byte) []byte { // returns the frame of an execute call with these encoded arguments
 		return closeFrame(append(appendHeaders(nil, messageCall, methodExecute, 1), b...))
 	}
+	// extended returns the frame of a valid execute call with more bytes between the call and the end of the frame.
+	extended := func(b ...byte) []byte {
+		frame := append(executeFrame(1, "body", validFields...), b...)
+		setFrameLength(frame, 0)
+		return frame
+	}
+	execute := executeFrame(2, "other body", validFields...)
+	bodyTwice := appendString(appendFieldHeader(executeFrame(1, "body", validFields...), executeBodyField, typeString), "x")
+	bodyTwice = closeFrame(slices.Delete(bodyTwice, len(extended())-1, len(extended()))) // without the first end
 	badVersion := executeFrame(1, "", validFields...)
 	badVersion[frameHeaderBytes] = 0
 	for _, test := range []struct {
@@ -81,6 +91,12 @@
 		{"too many request fields", executeFrame(1, "", make([]string, 2*(maxRequestFields+1))...), errTooManyElements},
 		{"map of numbers", arguments(byte(typeMap), 0, 1, byte(typeString), byte(typeI16), 0, 0, 0, 1), errNotStringMap},
 		{"body too large", executeFrame(1, string(make([]byte, maxBodyBytes+1)), validFields...), errBodyTooLarge},
+		{"byte after the message", extended(0), errTrailingBytes},
+		{"message within the frame of another", extended(execute...), errTrailingBytes},
+		{"body twice", bodyTwice, errDuplicateField},
+		{"request field twice", executeFrame(1, "", append(slices.Clone(validFields), fieldWait, "9")...), errDuplicateField},
+		{"oneway execute", emptyFrame(messageOneway, methodExecute, 1), errUnexpectedMessage},
+		{"oneway check", emptyFrame(messageOneway, methodCheck, 1), errUnexpectedMessage},
 		{"sequence ID 0", executeFrame(0, "", validFields...), errSequenceID},
 		{"negative sequence ID", executeFrame(math.MaxInt32+1, "", validFields...), errSequenceID},
 	} {
