Reject a list of the directory in which a record can't be read

A cell or a start time that is no number became 0: repeats in another cell, full load on a worker that has just started.

Change: every used record must be readable and of class IN, a target's name ends with its record, the message ends with its last record, and attributes are numbers.

Evidence: 13 new rows of TestParseResponseErrors and TestListWithInvalidAttributeIsNotApplied fail on the code of before.

--- a/internal/discovery/dns_records.go
+++ b/internal/discovery/dns_records.go
@@ -18,8 +18,11 @@
 	ipv4Length        = 4
 )
 
-// dataLengthOffset is the offset of the data length in the fixed part that follows the owner's name, in bytes.
-const dataLengthOffset = 8
+// Offsets in the fixed part that follows the owner's name, in bytes.
+const (
+	classOffset      = 2
+	dataLengthOffset = 8
+)
 
 // response holds the records that the client uses from a response. Names are in lower case, without the final dot.
 type response struct {
@@ -37,8 +40,9 @@
 	target   string
 }
 
-// records reads the resource records of all sections; count is their total number. It fails with errMalformed, or with
-// errNoSerial if none of them is an SOA record.
+// records reads the resource records of all sections; count is their total number. It fails with errNoSerial if none of
+// them is an SOA record, and with errMalformed otherwise, also if bytes follow the last record: they may be records that
+// a wrong count leaves out.
 func (p *parser) records(count int) (response, error) {
 	if count > maxRecords {
 		return response{}, fmt.Errorf("%w: %d records, limit %d", errMalformed, count, maxRecords)
@@ -55,6 +59,9 @@
 		}
 		hasSerial = hasSerial || rec.recordType == typeSOA
 	}
+	if rest := len(p.message) - p.offset; rest > 0 {
+		return response{}, fmt.Errorf("%w: %d bytes after the last record", errMalformed, rest)
+	}
 	if !hasSerial {
 		return response{}, errNoSerial
 	}
@@ -65,6 +72,7 @@
 type record struct {
 	owner      string // the name to which the record belongs
 	recordType uint16 // such as typeSRV
+	class      uint16 // such as classIN
 	message    []byte // the complete message, since compressed names in the data refer to it
 	dataStart  int    // offset of the data in the message
 	dataEnd    int    // offset after the data in the message
@@ -91,51 +99,80 @@
 	return record{
 		owner:      owner,
 		recordType: binary.BigEndian.Uint16(fixedFields),
+		class:      binary.BigEndian.Uint16(fixedFields[classOffset:]),
 		message:    p.message,
 		dataStart:  dataStart,
 		dataEnd:    p.offset,
 	}, nil
 }
 
-// add adds a record to the response, regardless of its class and section. It ignores unused types, SRV records that
-// belong to other names than serviceName, SRV records whose data is too short to hold a target, and A records whose
-// data does not have the size of an IPv4 address. It fails with errMalformed if the data of any other record is
-// invalid.
+// add adds a record to the response, regardless of its section. It ignores unused types and SRV records that belong to
+// other names than serviceName. It fails with errMalformed if the class or the data of any other record is invalid. A
+// record that can't be read is never ignored: a list without it would report its worker as gone.
 func (r *response) add(rec record) error {
-	dataLength := rec.dataEnd - rec.dataStart
-	switch {
-	case rec.recordType == typeSRV && dataLength > srvFixedLength && rec.owner == serviceName:
-		service, err := parseSRV(rec)
-		if err != nil {
-			return err
-		}
-		r.services = append(r.services, service)
-	case rec.recordType == typeA && dataLength == ipv4Length:
-		r.addresses[rec.owner] = netip.AddrFrom4([ipv4Length]byte(rec.data()))
-	case rec.recordType == typeTXT:
-		texts, err := parseTXT(rec)
-		if err != nil {
-			return err
-		}
-		r.texts[rec.owner] = append(r.texts[rec.owner], texts...)
-	case rec.recordType == typeSOA:
+	isUsed := rec.recordType == typeSRV && rec.owner == serviceName ||
+		rec.recordType == typeA || rec.recordType == typeTXT || rec.recordType == typeSOA
+	if !isUsed {
+		return nil
+	}
+	if rec.class != classIN {
+		return fmt.Errorf("%w: record of type %d has class %d", errMalformed, rec.recordType, rec.class)
+	}
+	switch rec.recordType {
+	case typeSRV:
+		return r.addService(rec)
+	case typeA:
+		return r.addAddress(rec)
+	case typeTXT:
+		return r.addTexts(rec)
+	default:
 		serial, err := parseSOA(rec)
-		if err != nil {
-			return err
-		}
 		r.serial = serial
+		return err
+	}
+}
+
+func (r *response) addService(rec record) error {
+	service, err := parseSRV(rec)
+	if err != nil {
+		return err
 	}
+	r.services = append(r.services, service)
 	return nil
 }
 
-// parseSRV parses the data of an SRV record: priority, weight and port, of two bytes each, and the target's name. The
-// data must be longer than srvFixedLength. parseSRV does not check that the name ends where the data ends.
+func (r *response) addAddress(rec record) error {
+	data := rec.data()
+	if len(data) != ipv4Length {
+		return fmt.Errorf("%w: A record of %d bytes, want %d", errMalformed, len(data), ipv4Length)
+	}
+	r.addresses[rec.owner] = netip.AddrFrom4([ipv4Length]byte(data))
+	return nil
+}
+
+func (r *response) addTexts(rec record) error {
+	texts, err := parseTXT(rec)
+	if err != nil {
+		return err
+	}
+	r.texts[rec.owner] = append(r.texts[rec.owner], texts...)
+	return nil
+}
+
+// parseSRV parses the data of an SRV record: priority, weight and port, of two bytes each, and the target's name, which
+// ends where the data ends.
 func parseSRV(rec record) (serviceRecord, error) {
-	target, _, err := parseName(rec.message, rec.dataStart+srvFixedLength)
+	data := rec.data()
+	if len(data) <= srvFixedLength {
+		return serviceRecord{}, fmt.Errorf("%w: SRV record of %d bytes is too short", errMalformed, len(data))
+	}
+	target, end, err := parseName(rec.message, rec.dataStart+srvFixedLength)
 	if err != nil {
 		return serviceRecord{}, err
 	}
-	data := rec.data()
+	if end != rec.dataEnd {
+		return serviceRecord{}, fmt.Errorf("%w: name in an SRV record ends at offset %d, want %d", errMalformed, end, rec.dataEnd)
+	}
 	return serviceRecord{
 		priority: binary.BigEndian.Uint16(data),
 		weight:   binary.BigEndian.Uint16(data[2:]),
--- a/internal/discovery/dns_test.go
+++ b/internal/discovery/dns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"strings"
 	"testing"
@@ -9,6 +10,8 @@
 	"pgregory.net/rapid"
 )
 
+// Guards against a list that lacks a worker because its record can't be read: the router would take the worker for gone,
+// and close its connections.
 func TestParseResponseErrors(t *testing.T) {
 	const id = 7
 	response := buildResponse(id, 9, 0)
@@ -21,11 +24,29 @@
 	withoutSOA[2] |= flagResponse >> 8
 	pointerLoop := bytes.Clone(response[:headerLength])
 	pointerLoop = append(pointerLoop, 0xc0, headerLength, 0, typeSRV, 0, classIN)
+	withCount := func(offset int, change uint16) []byte {
+		b := buildResponse(id, 9, 0, 0)
+		binary.BigEndian.PutUint16(b[offset:], binary.BigEndian.Uint16(b[offset:])+change)
+		return b
+	}
+	serviceRecord := append([]byte{0, 0, 0, 40, 0x27, 0x60}, "\x03s-9\x04east\x05hosts\x00"...)
+	with := func(recordType uint16, data ...byte) []byte {
+		return appendRecord(buildResponse(id, 9, 0), additionalCountField, questionNamePointer, recordType, data)
+	}
+	otherClass := with(typeSRV, serviceRecord...)
+	otherClass[len(otherClass)-len(serviceRecord)-recordFixedLength+classOffset+1] = 3
 	for _, test := range []struct {
 		name    string
 		message []byte
 		want    error
 	}{
+		{"record that the counts leave out", withCount(additionalCountField, ^uint16(0)), errMalformed},
+		{"byte after the last record", append(bytes.Clone(response), 0), errMalformed},
+		{"SRV record without a target", with(typeSRV, serviceRecord[:srvFixedLength]...), errMalformed},
+		{"SRV record with bytes after its target", with(typeSRV, append(bytes.Clone(serviceRecord), 0)...), errMalformed},
+		{"SRV record that ends within its target", append(with(typeSRV, serviceRecord[:12]...), serviceRecord[12:]...), errMalformed},
+		{"SRV record of another class", otherClass, errMalformed},
+		{"address of five bytes", with(typeA, 10, 1, 0, 1, 0), errMalformed},
 		{"empty", nil, errMalformed},
 		{"header cut short", response[:headerLength-1], errMalformed},
 		{"question cut short", response[:headerLength+3], errMalformed},
--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -45,7 +45,8 @@
 
 // endpoint combines the records of one worker: its SRV record, and the address and TXT records of the SRV record's
 // target. The first label of the target is the worker's name, the second is its zone. A priority above 0 means that the
-// worker is draining. endpoint fails with errNoAddress if the target has no address record.
+// worker is draining. endpoint fails with errNoAddress if the target has no address record, and with errMalformed if an
+// attribute in its TXT record is invalid.
 func (r response) endpoint(service serviceRecord) (Endpoint, error) {
 	address, ok := r.addresses[service.target]
 	if !ok {
@@ -64,22 +65,29 @@
 		e.State = policy.Draining
 	}
 	for _, text := range r.texts[service.target] {
-		e.setAttribute(text)
+		if err := e.setAttribute(text); err != nil {
+			return Endpoint{}, err
+		}
 	}
 	return e, nil
 }
 
-// setAttribute sets the field for one string of a TXT record. It ignores unknown names and non-integer values.
-func (e *Endpoint) setAttribute(text string) {
+// setAttribute sets the field for one string of a TXT record. It ignores unknown names. It fails with errMalformed if
+// the value is not a number: with an assumed value, the router could repeat a request in another cell, or send a worker
+// that has just started its full load.
+func (e *Endpoint) setAttribute(text string) error {
 	name, value, _ := strings.Cut(text, "=")
-	number, err := strconv.ParseInt(value, 10, 64)
+	if name != attributeCell && name != attributeStarted {
+		return nil
+	}
+	number, err := strconv.ParseUint(value, 10, 63)
 	if err != nil {
-		return
+		return fmt.Errorf("%w: attribute %.64q", errMalformed, text)
 	}
-	switch name {
-	case attributeCell:
+	if name == attributeCell {
 		e.Cell = int(number)
-	case attributeStarted:
-		e.StartedUnixMs = number
+	} else {
+		e.StartedUnixMs = int64(number)
 	}
+	return nil
 }
--- a/internal/discovery/endpoint_test.go
+++ b/internal/discovery/endpoint_test.go
@@ -61,3 +61,22 @@
 		t.Errorf("got %#x, want %#x", uint64(got), uint64(want))
 	}
 }
+
+// Guards against a worker whose attributes can't be read and are assumed: a cell of 0 allows a repeat in another cell, and
+// a start of 0 means that the worker takes its full load.
+func TestListWithInvalidAttributeIsNotApplied(t *testing.T) {
+	for _, text := range []string{"cell=", "cell=two", "cell=-1", "started=0x5", "started=99999999999999999999", "cell"} {
+		t.Run(text, func(t *testing.T) {
+			_, r, err := parseResponse(buildResponse(1, 9, 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			target := r.services[0].target
+			r.texts[target] = append(r.texts[target], text)
+			list := newEndpointList()
+			if changed, err := list.update(r); changed || !errors.Is(err, errMalformed) || list.serial != 0 {
+				t.Errorf("changed: %v, want false; error %v, want %v; serial %d, want 0", changed, err, errMalformed, list.serial)
+			}
+		})
+	}
+}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -46,8 +46,8 @@
 }
 
 // update replaces the list with the list of a response if the response has a higher serial, and reports whether it did.
-// The new list may be empty. If a worker of a newer list has no address, update fails with errNoAddress and changes
-// nothing. If several workers have the same name, the last one is used.
+// The new list may be empty. If a worker of a newer list has no address or an invalid attribute, update fails and
+// changes nothing. If several workers have the same name, the last one is used.
 func (l *endpointList) update(r response) (changed bool, err error) {
 	if r.serial <= l.serial {
 		return false, nil
