Keep an ended request in the table until the policy has handled its end

Cause: Router removed a request as soon as it was closed and no attempt was open, while events about it still waited for the policy. What the policy then decided about the request, a SendAttempt above all, found nothing in the table and was dropped without an AttemptEnded, for which the policy waits for ever. Three orders within one turn of the loop lead there: execute and interrupt, execute and the end of the connection or a violation, and an attempt that ends without a result before its client withdraws.

Change: requestTable holds every request that the policy knows. A request that is done is removed at the end of Process, when the policy has handled all events; its Request.ID is free at once. An event is given to the policy as the table is at that time: the arrival of a request that has ended is not delivered, and an attempt's end tells whether its request has ended.

The line "state sizes" shows the state among the counters. TestCancelWithdrawsUnsentAttempt looks at the table after Process instead of before, because the policy must handle the end first.

--- a/cmd/functionrouter/counters.go
+++ b/cmd/functionrouter/counters.go
@@ -12,8 +12,8 @@
 // fields of router.Counters.
 type outcomeCounts = [policy.FunctionNotLoaded + 1]uint64
 
-// logCounters logs all counters, one message per group, always in the same order. The counters count from the start of
-// the process.
+// logCounters logs all counters and the sizes of the state, one message per group, always in the same order. The counters
+// count from the start of the process.
 func (s *server) logCounters() {
 	c := &s.router.Counters
 	for f := range c.Received {
@@ -24,6 +24,7 @@
 	logUnservedCounters(c)
 	logLoadCommandCounters(c)
 	logHealthCheckCounters(c)
+	logState(s.router.State())
 	s.extensions.logCounters()
 	slog.Info("discovery counters",
 		"queries_sent", s.discovery.QueriesSent, "answers_received", s.discovery.AnswersReceived)
@@ -83,6 +84,20 @@
 	slog.Info("health check counters", appendOutcomes([]any{"sent", c.HealthChecks}, &c.HealthCheckOutcomes)...)
 }
 
+// logState logs how much state the router holds now. Unlike the counters, these numbers fall again.
+func logState(state router.State) {
+	slog.Info("state sizes",
+		"open_requests", state.OpenRequests,
+		"pending_requests", state.PendingRequests,
+		"control_calls", state.ControlCalls,
+		"timers", state.Timers,
+		"policy_requests", state.Policy.Requests,
+		"policy_attempts_in_flight", state.Policy.AttemptsInFlight,
+		"policy_load_commands", state.Policy.LoadCommands,
+		"functions", state.Policy.Functions,
+		"instances", state.Policy.Instances)
+}
+
 // appendOutcomes appends an attribute for each outcome that occurred, in the order of policy.Outcome.
 func appendOutcomes(attributes []any, counts *outcomeCounts) []any {
 	for outcome, count := range counts {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -14,8 +14,8 @@
 }
 
 // startAttempt sends a request to a worker. If the request is closed, has reached its deadline or has used up
-// Limits.MaxAttempts, startAttempt sends nothing and ends the attempt with policy.NotSent. It ignores an action for a
-// request that is not pending.
+// Limits.MaxAttempts, startAttempt sends nothing and ends the attempt with policy.NotSent. The request is pending, because
+// the table holds every request that the policy knows.
 func (r *Router) startAttempt(action policy.SendAttempt) {
 	p := r.requests.byID[action.Request]
 	if p == nil {
@@ -99,9 +99,8 @@
 		Worker:         a.worker,
 		Outcome:        result.Outcome,
 		InstanceStatus: result.InstanceStatus,
-		RequestClosed:  p.closed,
 		Duration:       r.now - a.sentAt,
 		LoadReport:     result.LoadReport,
 	})
-	r.requests.removeIfDone(id.Request, p)
+	r.requests.markIfDone(id.Request, p)
 }
--- a/internal/router/attempt_test.go
+++ b/internal/router/attempt_test.go
@@ -60,11 +60,14 @@
 	}
 	workers.unsent[workers.sent[id][0]] = true
 	r.Cancel(testStart+ms, id, ClientInterrupted)
-	if len(workers.openAttempts) != 0 || r.Counters.AttemptOutcomes[policy.NotSent] != 1 || len(r.requests.byID) != 0 {
-		t.Errorf("%d attempts are open and %d requests in the table, want none; %d attempts ended with NotSent, want 1",
-			len(workers.openAttempts), len(r.requests.byID), r.Counters.AttemptOutcomes[policy.NotSent])
+	if len(workers.openAttempts) != 0 || r.Counters.AttemptOutcomes[policy.NotSent] != 1 {
+		t.Errorf("%d attempts are open, want none; %d attempts ended with NotSent, want 1",
+			len(workers.openAttempts), r.Counters.AttemptOutcomes[policy.NotSent])
+	}
+	r.Process(testStart + ms) // the request stays in the table until the policy has handled its end
+	if len(r.requests.byID) != 0 {
+		t.Errorf("%d requests in the table, want none", len(r.requests.byID))
 	}
-	r.Process(testStart + ms)
 }
 
 // Checks that a second call of AttemptEnded for the same attempt changes neither the number of open attempts nor the
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -132,7 +132,7 @@
 	r.cancelUnsentAttempts(id, p)
 	r.reportEnd(&p.Request, outcome)
 	r.requests.release(p)
-	r.requests.removeIfDone(id, p)
+	r.requests.markIfDone(id, p)
 }
 
 // reportEnd calls Config.OnRequestEnd if it is set.
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -16,6 +16,9 @@
 // its client does not cancel must get one final answer by its deadline, and MayHaveRun must be true in the answer if
 // the request may have run. A cancelled request must get no answer. A request of a non-idempotent class must be neither
 // refused nor sent again once it may have run. The test does not compare the bodies of the answers.
+//
+// After each turn, the router and its policy must hold no state for requests that have ended, whatever the order in which
+// requests arrived, were withdrawn or ended within the turn.
 func TestEachRequestGetsOneCorrectAnswer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newRouterModel(t)
@@ -23,14 +26,17 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"attempt ends":      m.endAttempt,
 			"cancel":            m.cancel,
+			"disconnect":        m.disconnect,
 			"endpoint update":   m.updateEndpoints,
 			"load command ends": m.endLoadCommand,
 			"health check ends": m.endHealthCheck,
 			"submit":            m.submit,
 			"time passes":       m.advanceClock,
 			// rapid calls the action with the empty name before the first action and after each action.
-			"": m.processAndCheck,
+			"": m.endTurn,
 		})
+		m.processAndCheck(t)
+		m.checkNothingIsLeft(t)
 	})
 }
 
@@ -144,7 +150,22 @@
 	}
 }
 
+func (m *routerModel) disconnect(t *rapid.T) {
+	if id, ok := drawKey(t, m.requests); ok && m.requests[id].isOpen() {
+		m.router.Disconnect(m.now, id)
+	}
+}
+
+// endTurn ends the present turn or lets the next action happen in the same turn, except that time passes only between
+// turns.
+func (m *routerModel) endTurn(t *rapid.T) {
+	if rapid.Bool().Draw(t, "turn ends") {
+		m.processAndCheck(t)
+	}
+}
+
 func (m *routerModel) advanceClock(t *rapid.T) {
+	m.processAndCheck(t)
 	m.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * ms
 }
 
@@ -153,6 +174,7 @@
 	if next := m.router.Process(m.now); next <= m.now {
 		t.Fatalf("Process at %v returned the next call time %v, want a later time", m.now, next)
 	}
+	m.checkState(t)
 	open := 0
 	for id, req := range m.requests {
 		m.checkOneAnswerInTime(t, id, req)
@@ -168,6 +190,45 @@
 	}
 }
 
+// checkState checks that the router and its policy hold the requests that are open or have attempts in flight, and no
+// others, and that each attempt in flight is known to the workers.
+func (m *routerModel) checkState(t *rapid.T) {
+	pending := map[policy.RequestID]bool{}
+	for id, req := range m.requests {
+		if req.isOpen() {
+			pending[id] = true
+		}
+	}
+	for attempt := range m.workers.openAttempts {
+		pending[attempt.Request] = true
+	}
+	state := m.router.State()
+	if state.PendingRequests != len(pending) || state.Policy.Requests != len(pending) {
+		t.Fatalf("the router holds %d requests and its policy %d, want %d each", state.PendingRequests, state.Policy.Requests, len(pending))
+	}
+	if state.Policy.AttemptsInFlight != len(m.workers.openAttempts) {
+		t.Fatalf("the policy has %d attempts in flight, want %d", state.Policy.AttemptsInFlight, len(m.workers.openAttempts))
+	}
+	if state.ControlCalls != len(m.workers.loadCommands)+len(m.workers.healthChecks) || state.Policy.LoadCommands != len(m.workers.loadCommands) {
+		t.Fatalf("the router has %d control calls, want %d; its policy has %d load commands, want %d", state.ControlCalls,
+			len(m.workers.loadCommands)+len(m.workers.healthChecks), state.Policy.LoadCommands, len(m.workers.loadCommands))
+	}
+}
+
+// checkNothingIsLeft lets the deadlines of all requests, and the time for which functions are kept, pass. Afterwards the
+// router and its policy must hold nothing of what clients have named.
+func (m *routerModel) checkNothingIsLeft(t *rapid.T) {
+	end := m.now + 15*time.Minute
+	for m.now < end {
+		m.now = max(m.now+10*ms, min(m.router.Process(m.now), end))
+	}
+	m.processAndCheck(t)
+	state := m.router.State()
+	if state.PendingRequests != 0 || state.Policy != (policy.State{}) {
+		t.Fatalf("after all deadlines the state is %+v, want no requests, functions and instances", state)
+	}
+}
+
 func (req *requestModel) isOpen() bool { return len(req.responder.responses) == 0 && !req.cancelled }
 
 func (m *routerModel) checkOneAnswerInTime(t *rapid.T, id policy.RequestID, req *requestModel) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,7 +102,8 @@
 func (r *Router) UpdateEndpoints(update policy.EndpointUpdate) { r.events.add(update) }
 
 // Process fires the due timers, gives the queued events to the policy and executes the actions that the policy returns.
-// It repeats this until no timer is due and no event is queued. It returns the time by which it must be called again.
+// It repeats this until no timer is due and no event is queued, and then removes the requests that are done. It returns
+// the time by which it must be called again.
 func (r *Router) Process(now time.Duration) (next time.Duration) {
 	r.SetNow(now)
 	for {
@@ -111,19 +112,34 @@
 			break
 		}
 		r.actions = r.actions[:0]
-		r.events.drain(func(event policy.Event) {
-			r.actions = r.policy.Handle(r.now, event, r.actions)
-		})
+		r.events.drain(r.deliver)
 		for _, action := range r.actions {
 			r.execute(action)
 		}
 	}
+	r.requests.removeDone()
 	if due, ok := r.timers.nextDue(); ok {
 		return due
 	}
 	return now + maxProcessInterval
 }
 
+// deliver gives an event to the policy as the request table is now, not as it was when the event was queued: the arrival
+// of a request that has ended since then is not delivered, and the end of an attempt tells whether its request has. The
+// policy thus spends nothing on a request that its client has withdrawn in the turn in which it arrived.
+func (r *Router) deliver(event policy.Event) {
+	switch e := event.(type) {
+	case policy.RequestArrived:
+		if r.requests.findOpen(e.Request) == nil {
+			return
+		}
+	case policy.AttemptEnded:
+		e.RequestClosed = r.requests.findOpen(e.Request) == nil
+		event = e
+	}
+	r.actions = r.policy.Handle(r.now, event, r.actions)
+}
+
 // execute carries out an action of the policy.
 //
 // policy.Subscribe, policy.FetchEndpoints, policy.SendGossip and policy.LogLine have no effect: in this deployment
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -2,7 +2,8 @@
 
 import "functionrouter/policy"
 
-// pendingRequest is a request that is open, or that is closed and has attempts that have not ended.
+// pendingRequest is a request that is open, or that is closed and whose end the policy may not have handled yet, or that
+// has attempts that have not ended.
 type pendingRequest struct {
 	Request // Body and Responder are nil once the request is closed
 
@@ -10,6 +11,7 @@
 	openAttempts           int       // number of attempts that have not ended
 	endedAttemptMayHaveRun bool      // true if an attempt ended and its outcome does not prove that it never ran
 	closed                 bool      // the request was answered, or cancelled by the client
+	done                   bool      // the request is closed, and all its attempts have ended; see requestTable
 }
 
 // mayHaveRun reports whether any attempt may have run or may still run: an open attempt, or one that ended without
@@ -26,9 +28,15 @@
 }
 
 // requestTable holds the pending requests.
+//
+// It holds every request that the policy knows: a request that is done stays in the table until the policy has handled
+// all events (see removeDone). Whatever the policy still decides about the request by then finds it here, closed, and is
+// reported back as ended. If the request were removed at once, a SendAttempt that the policy decides on before it handles
+// the request's end would find nothing, and the policy would wait for the end of that attempt for ever.
 type requestTable struct {
 	byID        map[policy.RequestID]*pendingRequest
-	externalIDs map[string]struct{} // the Request.ID of each pending request
+	externalIDs map[string]struct{} // the Request.ID of each pending request that is not done
+	done        []policy.RequestID  // requests that became done since the last removeDone
 	lastID      policy.RequestID
 	open        int // number of requests that are not closed
 	bodyBytes   int // total size of the open requests' bodies
@@ -85,12 +93,23 @@
 	p.Responder = nil
 }
 
-// removeIfDone removes a request that is closed and whose attempts have all ended. It does nothing for a request that
-// has already been removed, because a later request may have the same id or Request.ID by then. Such a second call
-// occurs in AttemptEnded after respond has closed and removed the request.
-func (t *requestTable) removeIfDone(id policy.RequestID, p *pendingRequest) {
-	if p.closed && p.openAttempts == 0 && t.byID[id] == p {
+// markIfDone marks a request as done if it is closed and has no open attempts, so that removeDone removes it. Its
+// Request.ID may be used again at once, because no further attempt is sent to a worker. markIfDone may be called again
+// for a request that is done.
+func (t *requestTable) markIfDone(id policy.RequestID, p *pendingRequest) {
+	if p.done || !p.closed || p.openAttempts > 0 {
+		return
+	}
+	p.done = true
+	t.done = append(t.done, id)
+	delete(t.externalIDs, p.ID)
+}
+
+// removeDone removes the requests that are done. It must be called only when the policy has handled all events and all
+// its actions are executed.
+func (t *requestTable) removeDone() {
+	for _, id := range t.done {
 		delete(t.byID, id)
-		delete(t.externalIDs, p.ID)
 	}
+	t.done = t.done[:0]
 }
--- /dev/null
+++ b/internal/router/withdrawn_test.go
@@ -0,0 +1,47 @@
+package router
+
+import (
+	"testing"
+
+	"functionrouter/policy"
+)
+
+// Guards against memory that grows until the process is killed, and against workers that seem busy for ever: a request
+// that its client withdraws in the turn in which it arrives was removed before the policy had seen it, and the policy
+// then waited for the end of an attempt that was never sent.
+func TestRequestEndedInTheTurnOfItsArrivalLeavesNothing(t *testing.T) {
+	for name, end := range map[string]func(r *Router, id policy.RequestID){
+		"interrupted":  func(r *Router, id policy.RequestID) { r.Cancel(testStart, id, ClientInterrupted) },
+		"disconnected": func(r *Router, id policy.RequestID) { r.Disconnect(testStart, id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, workers := newTestRouter(t, 1)
+			addReadyWorkers(r, 1)
+			for range 100 {
+				id, _ := submit(r, idempotentClass)
+				end(r, id)
+				r.Process(testStart)
+			}
+			if got := r.State(); got.PendingRequests != 0 || got.Policy != (policy.State{}) || len(workers.openAttempts) != 0 {
+				t.Errorf("state %+v and %d open attempts, want no state of the requests", got, len(workers.openAttempts))
+			}
+		})
+	}
+}
+
+// Guards against the same loss for a request that is open for longer: its attempt ends without a result, which makes the
+// policy send another one, and its client withdraws it in the same turn.
+func TestRequestWithdrawnAsItsAttemptEndsLeavesNothing(t *testing.T) {
+	r, workers := newTestRouter(t, 1)
+	addReadyWorkers(r, 2)
+	id, _ := submit(r, idempotentClass)
+	r.Process(testStart)
+	attempt := workers.sent[id][0]
+	delete(workers.openAttempts, attempt)
+	r.AttemptEnded(attempt, AttemptResult{Outcome: policy.Unreachable})
+	r.Cancel(testStart, id, ClientInterrupted)
+	r.Process(testStart)
+	if got := r.State(); got.PendingRequests != 0 || got.Policy.Requests != 0 || got.Policy.AttemptsInFlight != 0 || len(workers.sent[id]) != 1 {
+		t.Errorf("state %+v and %d attempts sent, want no request and 1", got, len(workers.sent[id]))
+	}
+}
