Drop the timers of requests that have ended

Cause: two timers of each request, the router's and the policy's, stay until they are due, and the client's wait says when that is. A request that ends at once leaves both behind; a refused one costs its client nothing.

Change: timerQueue is pruned of timers whose attempt, control call or request has ended whenever it has doubled. SetTimer names the request that a timer serves, so that the policy's own are known too. The number of timers is bounded by the pending requests, not by what clients ask for.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,6 +118,7 @@
 		}
 	}
 	r.requests.removeDone()
+	r.timers.prune(r.isNeeded)
 	if due, ok := r.timers.nextDue(); ok {
 		return due
 	}
@@ -164,7 +165,8 @@
 	case policy.CloseIdleConnections:
 		r.workers.CloseIdleConnections(a.Worker)
 	case policy.SetTimer:
-		r.timers.schedule(r.now+max(a.After, 0), timer{kind: policyTimer, token: a.Token})
+		r.timers.schedule(r.now+max(a.After, 0),
+			timer{kind: policyTimer, token: a.Token, attempt: AttemptID{Request: a.Request}})
 	}
 }
 
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"functionrouter/policy"
@@ -21,15 +22,17 @@
 	requestDeadline // request deadline
 )
 
-// timer is an entry of timerQueue. A timer is never removed before it is due: if its attempt, control call or request
-// has ended by then, firing it does nothing.
+// timer is an entry of timerQueue. If its attempt, control call or request has ended, firing it does nothing, and prune
+// may remove it before it is due.
 type timer struct {
 	due     time.Duration
 	seq     uint64 // sequence number, in the order of scheduling
 	kind    timerKind
 	token   uint64    // policyTimer: the token of policy.SetTimer
 	control ControlID // controlTimeout: the control call
-	attempt AttemptID // attemptTimeout: the attempt; requestDeadline: only Request is set
+	// attempt is the attempt of an attemptTimeout. For a requestDeadline only its Request is set, and for a policyTimer
+	// only the Request of policy.SetTimer, 0 if there is none.
+	attempt AttemptID
 }
 
 // fireDueTimers fires all timers that are due, including those that are scheduled when another timer fires.
@@ -57,10 +60,32 @@
 	}
 }
 
+// isNeeded reports whether firing t may have an effect: its attempt, control call or request is pending, or it belongs to
+// none.
+func (r *Router) isNeeded(t timer) bool {
+	switch t.kind {
+	case attemptTimeout:
+		_, a := r.findOpenAttempt(t.attempt)
+		return a != nil
+	case controlTimeout:
+		_, pending := r.controls.byID[t.control]
+		return pending
+	default:
+		return t.attempt.Request == 0 || r.requests.byID[t.attempt.Request] != nil
+	}
+}
+
+// minPrunedTimers is the number of timers below which the queue is not pruned.
+const minPrunedTimers = 1024
+
 // timerQueue holds the scheduled timers. Timers that are due at the same time fire in the order of their scheduling.
+//
+// Clients choose how long their requests may wait, so the time until a timer is due does not bound the number of timers:
+// see prune.
 type timerQueue struct {
 	heap    timerHeap
 	lastSeq uint64
+	needed  int // number of timers that the last prune left
 }
 
 // schedule adds t to the queue, to fire at due.
@@ -79,6 +104,18 @@
 	return heap.Pop(&q.heap).(timer), true
 }
 
+// prune removes the timers that isNeeded rejects, if the queue has grown to twice the size that the last prune left. The
+// queue thus holds at most minPrunedTimers more than twice as many timers as were needed at once, and the cost of pruning
+// is a constant for each timer.
+func (q *timerQueue) prune(isNeeded func(timer) bool) {
+	if len(q.heap) < minPrunedTimers+2*q.needed {
+		return
+	}
+	q.heap = slices.DeleteFunc(q.heap, func(t timer) bool { return !isNeeded(t) })
+	heap.Init(&q.heap)
+	q.needed = len(q.heap)
+}
+
 // nextDue returns the time at which the earliest timer is due, or false if the queue is empty.
 func (q *timerQueue) nextDue() (time.Duration, bool) {
 	if len(q.heap) == 0 {
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -81,6 +81,9 @@
 type SetTimer struct {
 	After time.Duration
 	Token uint64
+	// Request is the request that the timer serves; 0: none. The router may drop the timer once this request has ended
+	// and has no attempt in flight.
+	Request RequestID
 }
 
 // Subscribe starts or ends the subscription to the endpoint list.
--- a/policy/timers.go
+++ b/policy/timers.go
@@ -26,7 +26,7 @@
 // timer identifies a timer of the policy.
 type timer struct {
 	kind    timerKind
-	request RequestID // of a deadlineTimer
+	request RequestID // of a deadlineTimer; else 0
 }
 
 // token returns the number that identifies t outside this package.
@@ -57,7 +57,7 @@
 
 // setTimer asks the router for a TimerFired event with the token of t after the given time.
 func (p *Policy) setTimer(after time.Duration, t timer) {
-	p.emit(SetTimer{After: after, Token: t.token()})
+	p.emit(SetTimer{After: after, Token: t.token(), Request: t.request})
 }
 
 // timerFired does the work of the timer that has expired.
