Count withdrawn requests towards the limit until their attempts have ended

Where the settings do not allow attempts to be cancelled, a withdrawn request keeps its attempt until the worker answers or its wait is over, up to ten minutes, and a client that withdraws what it sends leaves any number of them behind.

Change: withinLimits counts the requests that are not done. Where attempts are cancelled the two numbers are the same.

Evidence: TestWithdrawnRequestsWithAttemptsAreLimited holds 200 requests at a limit of 20 without the change.

--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -42,9 +42,11 @@
 	return id
 }
 
-// withinLimits reports whether the limits allow req, with its body, as one more open request.
+// withinLimits reports whether the limits allow req, with its body, as one more open request. Requests that their clients
+// have withdrawn count until their attempts have ended: where attempts can't be cancelled, a client could otherwise leave
+// any number of them behind.
 func (r *Router) withinLimits(req *Request) bool {
-	return r.requests.open < r.limits.MaxOpenRequests &&
+	return r.requests.notDone() < r.limits.MaxOpenRequests &&
 		r.requests.bodyBytes+len(req.Body) <= r.limits.MaxBodyBytes
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,7 +26,7 @@
 
 // Limits bounds the requests that a Router holds and the time for which it waits for workers.
 type Limits struct {
-	MaxOpenRequests int // number of open requests
+	MaxOpenRequests int // number of requests that are open or have attempts that have not ended
 	MaxBodyBytes    int // total size of the bodies of all open requests
 	// RetryAfter is the Response.RetryAfter of the answers that the Router gives without the policy: to a request that
 	// RefuseAtOnce refuses, that enforceDeadline ends, or whose client closed its side of the connection (Disconnect).
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -78,6 +78,9 @@
 	return nil
 }
 
+// notDone returns the number of requests that are open or have attempts that have not ended.
+func (t *requestTable) notDone() int { return len(t.byID) - len(t.done) }
+
 // hasExternalID reports whether a pending request has the given Request.ID.
 func (t *requestTable) hasExternalID(id string) bool {
 	_, ok := t.externalIDs[id]
--- a/internal/router/withdrawn_test.go
+++ b/internal/router/withdrawn_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"functionrouter/policy"
 )
@@ -45,3 +47,26 @@
 		t.Errorf("state %+v and %d attempts sent, want no request and 1", got, len(workers.sent[id]))
 	}
 }
+
+// Guards against memory that grows without limit where attempts can't be cancelled: withdrawn requests did not count, and
+// their attempts last for as long as the clients said that they wait.
+func TestWithdrawnRequestsWithAttemptsAreLimited(t *testing.T) {
+	p, err := policy.New(policy.Config{RouterCount: 1, Tick: 4 * ms, OverQuotaWeight: 1, Classes: testClasses}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const limit = 20
+	r, _ := newRouterWithFakePool(p, Limits{MaxOpenRequests: limit, MaxBodyBytes: 1 << 16})
+	addReadyWorkers(r, 1)
+	for n := range 10 * limit {
+		id := r.Submit(testStart, Request{
+			Responder: &recordingResponder{}, ID: fmt.Sprint(n), Function: 7, Deadline: testStart + 10*time.Minute,
+		})
+		r.Process(testStart)
+		r.Cancel(testStart, id, ClientInterrupted)
+		r.Process(testStart)
+	}
+	if got := r.State(); got.PendingRequests != limit || got.Policy.Requests != limit {
+		t.Errorf("state %+v, want %d requests", got, limit)
+	}
+}
