Forget requests that ended while they waited, and the sends of a slow start

The random events of TestRulesHoldForRandomEvents now end with a check that no request, attempt or load command is left.

--- a/policy/instances.go
+++ b/policy/instances.go
@@ -11,7 +11,7 @@
 	inFlight           int           // this router's attempts in flight
 	concurrency        int           // largest number of this router's requests served at the same time
 	loadCommandPending bool          // this router's load command has no answer yet
-	waiting            []*request    // requests that wait for the answer to that command
+	waiting            waitQueue     // requests that wait for the answer to that command
 }
 
 // markNotLoaded records that the function is neither loaded nor being loaded.
@@ -24,9 +24,12 @@
 // isUnused reports whether the entry may be deleted at now: no attempt is in flight, no load command is
 // pending, and warmUntil and loadEndsAt have passed.
 func (i *instance) isUnused(now time.Duration) bool {
-	return i.inFlight == 0 && !i.loadCommandPending && now > i.warmUntil && now > i.loadEndsAt
+	return i.isIdle() && now > i.warmUntil && now > i.loadEndsAt
 }
 
+// isIdle reports whether no attempt is in flight and no load command is pending.
+func (i *instance) isIdle() bool { return i.inFlight == 0 && !i.loadCommandPending }
+
 // isLoading reports whether a load is assumed to be under way.
 func (i *instance) isLoading() bool { return i.loadEndsAt > 0 }
 
--- a/policy/load_commands.go
+++ b/policy/load_commands.go
@@ -79,7 +79,7 @@
 	if !i.loadCommandPending && !p.commandLoad(i, r.function) {
 		return false
 	}
-	i.waiting = append(i.waiting, r)
+	i.waiting.add(r)
 	r.triedWorkers = slices.DeleteFunc(r.triedWorkers, func(w *worker) bool { return w == i.worker })
 	return true
 }
@@ -98,20 +98,19 @@
 // loadCommandEnded handles the result of a load command and places the requests that waited for it.
 func (p *Policy) loadCommandEnded(e LoadCommandEnded) {
 	w := p.workers[e.Worker]
-	f := p.functions[e.Function]
-	if w == nil || f == nil || !w.instance(f.id).loadCommandPending {
+	if w == nil || w.instances[e.Function] == nil || !w.instances[e.Function].loadCommandPending {
 		return
 	}
-	i := w.instance(f.id)
+	i := w.instances[e.Function]
 	i.loadCommandPending = false
 	i.loadEndsAt = 0
 	w.loadCommands--
-	p.learnFromLoadCommand(i, f, e)
-	waiting := i.waiting
-	i.waiting = nil
+	if f := p.functions[e.Function]; f != nil { // it may have been deleted since the command was sent
+		p.learnFromLoadCommand(i, f, e)
+	}
 	// After a reset the worker may still be used, because a reset may affect a single connection only.
 	workerUsable := e.Outcome == Served || e.Outcome == ConnectionReset
-	for _, r := range waiting {
+	for _, r := range i.waiting.takeAll() {
 		if !workerUsable {
 			r.triedWorkers = append(r.triedWorkers, w)
 		}
--- a/policy/load_commands_test.go
+++ b/policy/load_commands_test.go
@@ -102,7 +102,7 @@
 	}
 	h.now += 2 * time.Second
 	h.housekeep()
-	h.policy.waiting = nil
+	h.policy.waiting = waitQueue{}
 	h.now += 2 * time.Second
 	h.serve(500, time.Second, LoadStarted)
 	h.serve(501, time.Second, LoadStarted) // sent at once, because the load of function 500 has ended the backoff
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -64,7 +64,7 @@
 func (p *Policy) waitOrRefuse(r *request, earliest time.Duration) {
 	enoughTime := nanoseconds(r.deadline-earliest) > p.predictedRunTime(r)
 	if enoughTime && p.mayBePlacedLater(r) {
-		p.waiting = append(p.waiting, r)
+		p.waiting.add(r)
 		return
 	}
 	p.endUnserved(r, nanoseconds(earliest-p.now), NoWorkerAvailable)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	subscribed   bool      // a subscription to the endpoint list is active
 
 	requests  map[RequestID]*request
-	waiting   []*request // requests that no worker may take now; housekeeping places them again
+	waiting   waitQueue // requests that no worker may take now; housekeeping places them again
 	functions map[FunctionID]*function
 	classes   []class       // by RequestArrived.Class
 	quotas    []tokenBucket // by RequestArrived.Tenant
@@ -135,14 +135,13 @@
 // placeWaiting tries again to place the requests that no worker could take. A request that still finds no
 // worker continues to wait if there is enough time; otherwise it is refused.
 func (p *Policy) placeWaiting() {
-	waiting := p.waiting
-	p.waiting = nil
-	for _, r := range waiting {
+	for _, r := range p.waiting.takeAll() {
 		p.place(r)
 	}
 }
 
-// sweep decays the served work and deletes the unused workers, instances and functions.
+// sweep decays the served work and deletes the unused workers, instances and functions, and the old sends to workers in
+// slow start.
 func (p *Policy) sweep() {
 	p.lastSweep = p.now
 	p.estimates.decayServedWork()
@@ -150,6 +149,7 @@
 	maps.DeleteFunc(p.workers, func(_ WorkerID, w *worker) bool { return w.isUnused() })
 	for _, w := range p.fleet {
 		maps.DeleteFunc(w.instances, func(_ FunctionID, i *instance) bool { return i.isUnused(p.now) })
+		w.slowStart.dropSendsBefore(p.now - p.cfg.OverloadWindow)
 	}
 	oldest := p.now - functionRetention
 	maps.DeleteFunc(p.functions, func(_ FunctionID, f *function) bool { return f.lastRequest < oldest })
--- a/policy/random_events_test.go
+++ b/policy/random_events_test.go
@@ -295,8 +295,27 @@
 			h.t.Fatalf("request %d has no final answer after all timers have fired", id)
 		}
 	}
-	if len(h.policy.waiting) > len(h.requests) {
-		h.t.Fatalf("%d requests wait to be placed, want at most the %d that have arrived", len(h.policy.waiting), len(h.requests))
+	h.checkNothingIsLeft()
+	if len(h.policy.waiting.requests) > len(h.requests) {
+		h.t.Fatalf("%d requests wait to be placed, want at most the %d that have arrived", len(h.policy.waiting.requests), len(h.requests))
+	}
+}
+
+// checkNothingIsLeft ends the attempts in flight and the load commands. The policy must then hold no request, whatever the
+// order of their events was.
+func (h *randomHarness) checkNothingIsLeft() {
+	h.t.Helper()
+	for id, r := range h.requests {
+		for attempt := range r.inFlight {
+			h.handle(AttemptEnded{Request: id, Attempt: attempt, Worker: r.workers[attempt], Outcome: Cancelled})
+		}
+	}
+	for _, load := range h.pendingLoads {
+		h.handle(LoadCommandEnded{Worker: load.Worker, Function: load.Function, Outcome: TimedOut})
+	}
+	state := h.policy.State()
+	if state.Requests != 0 || state.AttemptsInFlight != 0 || state.LoadCommands != 0 {
+		h.t.Fatalf("after the end of all requests, attempts and load commands the state is %+v, want none of them", state)
 	}
 }
 
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -32,11 +32,12 @@
 	quota            *tokenBucket // quota of its tenant; nil: the tenant is unknown
 	attempts         []*attempt   // in the order in which they were sent
 	attemptsInFlight int
-	mayHaveRun       *attempt  // the first attempt that may have run; nil: none
-	triedWorkers     []*worker // workers that the policy does not try again; see recordAttemptEnd
-	overQuota        bool      // its tenant's quota was used up when it arrived
-	responseStarted  bool      // part of the response has reached the client
-	finished         bool      // it has its final answer or needs none
+	mayHaveRun       *attempt   // the first attempt that may have run; nil: none
+	triedWorkers     []*worker  // workers that the policy does not try again; see recordAttemptEnd
+	overQuota        bool       // its tenant's quota was used up when it arrived
+	waitsIn          *waitQueue // the queue that the request waits in; nil: none
+	responseStarted  bool       // part of the response has reached the client
+	finished         bool       // it has its final answer or needs none
 }
 
 func (r *request) id() RequestID { return r.arrived.Request }
@@ -124,7 +125,15 @@
 
 // closeRequest marks r as finished and cancels its attempts in flight, if the settings allow cancellation.
 func (p *Policy) closeRequest(r *request) {
+	if r.waitsIn != nil && !r.finished {
+		r.finished = true
+		r.waitsIn.requestFinished()
+	}
 	r.finished = true
+	if r.waitsIn != nil && !r.finished {
+		r.finished = true
+		r.waitsIn.requestFinished()
+	}
 	for _, a := range r.attempts {
 		if !a.ended {
 			p.cancelAttempt(a)
--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -18,6 +18,11 @@
 	recentSends  []*attempt    // this router's attempts within OverloadWindow; recentWork drops older ones
 }
 
+// dropSendsBefore removes the attempts that were sent before earliest. Each attempt keeps its request in memory.
+func (s *slowStart) dropSendsBefore(earliest time.Duration) {
+	s.recentSends = slices.DeleteFunc(s.recentSends, func(a *attempt) bool { return a.sentAt < earliest })
+}
+
 // warmingCapacity is the least capacity that w has now, as a share of its full capacity. It rises linearly
 // from SlowStartCapacity at the start of w's process to 1 after SlowStartDuration.
 func (p *Policy) warmingCapacity(w *worker) float64 {
@@ -63,10 +68,9 @@
 // recentWork is the work of this router's attempts that were sent to a warming worker at earliest or later.
 // It drops older attempts from the list.
 func (p *Policy) recentWork(w *worker, earliest time.Duration) nanoseconds {
-	s := &w.slowStart
-	s.recentSends = slices.DeleteFunc(s.recentSends, func(a *attempt) bool { return a.sentAt < earliest })
+	w.slowStart.dropSendsBefore(earliest)
 	var work nanoseconds
-	for _, a := range s.recentSends {
+	for _, a := range w.slowStart.recentSends {
 		work += p.classOf(a.request).runTime.mean
 	}
 	return work
--- a/policy/slow_start_test.go
+++ b/policy/slow_start_test.go
@@ -68,3 +68,20 @@
 		t.Errorf("all routers together sent %d attempts to a warming worker within 3 s, want 8 to 60", sent)
 	}
 }
+
+// Guards against the sends of a slow start that stay in memory, with their requests, when the worker is warm.
+func TestSendsOfASlowStartAreForgotten(t *testing.T) {
+	h := newHarness(t, testConfig(), 2)
+	for f := range FunctionID(50) {
+		h.serve(f, 10*ms, InstanceWarm)
+	}
+	h.setEndpoints(Endpoint{Worker: 3, State: Ready, StartedAt: h.now - time.Second})
+	h.arrive(classIdempotent, 1)
+	for range 20 * 60 {
+		h.now += housekeepingInterval
+		h.housekeep()
+	}
+	if sends := h.policy.workers[3].slowStart.recentSends; len(sends) != 0 {
+		t.Errorf("%d sends are kept after the slow start, want 0", len(sends))
+	}
+}
