Bound what the policy remembers of functions by the memory limit

Cause: recordFunctionRequest keeps each function for two minutes, whatever their number, and an instance at each worker that such a request was sent to until the load that the request announced would have ended, up to ten minutes.

Change: MaxFunctionEntries limits functions and idle instances together; the router sets 256 for each MiB of its memory, which is a sixteenth of it.

--- a/cmd/functionrouter/limits.go
+++ b/cmd/functionrouter/limits.go
@@ -7,7 +7,8 @@
 const fullMemoryMB = 192
 
 // Limits on the bytes held for peers, at fullMemoryMB. They add up to 72 of the 192 MiB. Together with the memory that
-// open requests take besides their bodies (see openRequestsPerMB), they stay within half of the memory.
+// open requests take besides their bodies (see openRequestsPerMB), and that functions take (see functionEntriesPerMB),
+// they stay within half of the memory.
 const (
 	maxUnreadBytes        = 32 << 20 // output that peers have not read yet
 	maxBodyBytes          = 24 << 20 // bodies of open requests
@@ -18,6 +19,10 @@
 // takes 2 KiB besides its body, so the open requests take at most a sixteenth of the memory.
 const openRequestsPerMB = 32
 
+// functionEntriesPerMB limits what the policy remembers of functions in proportion to the memory. An entry takes up to
+// 256 bytes, so the entries take at most a sixteenth of the memory.
+const functionEntriesPerMB = 256
+
 // The Go runtime's soft memory limit is 6/10 of the memory. It must stay well below the limit at which the platform
 // kills the process, because the runtime does not count memory outside of Go and a garbage collection may run late.
 const (
@@ -84,6 +89,9 @@
 	return min(c.transport.Limits.MaxOpenRequests, c.Limits.MemoryMB*openRequestsPerMB)
 }
 
+// maxFunctionEntries returns how many functions, and instances of them at workers, the policy remembers.
+func (c *config) maxFunctionEntries() int { return c.Limits.MemoryMB * functionEntriesPerMB }
+
 // flushTimeout returns the longest time after SIGTERM in which the router answers requests and waits for notices.
 func (c *config) flushTimeout() time.Duration {
 	longest := time.Duration(0)
--- a/cmd/functionrouter/limits_test.go
+++ b/cmd/functionrouter/limits_test.go
@@ -23,13 +23,13 @@
 }
 
 // checkMemoryBounds checks that what is held for peers takes at most half of the memory, if an open request takes 2 KiB
-// besides its body. It also checks that the limits leave room for a minimum of bodies and requests.
+// besides its body, and an entry for a function 256 bytes. It also checks that the limits leave room for a minimum of bodies and requests.
 func checkMemoryBounds(t *testing.T, c *config) {
 	t.Helper()
 	bodies := c.scaleToMemory(maxBodyBytes)
 	open := c.maxOpenRequests()
 	held := bodies + c.scaleToMemory(maxUnreadBytes) +
-		c.scaleToMemory(maxWebhookResultBytes) + open*2048
+		c.scaleToMemory(maxWebhookResultBytes) + open*2048 + c.maxFunctionEntries()*256
 	if held > c.Limits.MemoryMB<<20/2 || bodies < 1<<20 || open < 1000 {
 		t.Errorf("limits: %d bytes held for peers, want at most %d; %d of them bodies, want at least %d; "+
 			"%d open requests, want at least 1000", held, c.Limits.MemoryMB<<20/2, bodies, 1<<20, open)
--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -31,7 +31,9 @@
 // LoadInitial calls updateEndpoints, which needs the router, the pool and s.discovery. If newServer fails, the program
 // must end, because an open ledger is not closed.
 func newServer(cfg *config) (*server, error) {
-	routingPolicy, err := policy.New(cfg.policy, cfg.seed)
+	policyConfig := cfg.policy
+	policyConfig.MaxFunctionEntries = cfg.maxFunctionEntries()
+	routingPolicy, err := policy.New(policyConfig, cfg.seed)
 	if err != nil {
 		return nil, err
 	}
--- a/policy/config.go
+++ b/policy/config.go
@@ -112,6 +112,11 @@
 	// the worker is draining or gone.
 	DrainGrace time.Duration
 
+	// MaxFunctionEntries bounds what the policy remembers of functions, since clients can name any number of
+	// them: the number of functions, plus the number of instances at workers that have no attempt in flight
+	// and no load command pending. 0: no limit.
+	MaxFunctionEntries int
+
 	MissWhenNotLoaded       bool          // workers answer FunctionNotLoaded instead of loading the function
 	AllowLoadCommands       bool          // LoadInstance and UnloadInstance are available
 	InstanceStatusInAnswers bool          // answers carry an InstanceStatus
--- a/policy/config_check.go
+++ b/policy/config_check.go
@@ -49,6 +49,7 @@
 func validateNumbers(cfg *Config) error {
 	return cmp.Or(
 		validateNumber("MaxAttempts", cfg.MaxAttempts, noUpperBound),
+		validateNumber("MaxFunctionEntries", cfg.MaxFunctionEntries, noUpperBound),
 		validateNumber("Tick", cfg.Tick, noUpperBound),
 		validateNumber("SlowStartCapacity", cfg.SlowStartCapacity, 1),
 		validateNumber("SlowStartDuration", cfg.SlowStartDuration, noUpperBound),
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,9 +20,8 @@
 	sweepInterval = time.Second
 
 	// functionRetention is how long the policy keeps a function after its last request. It bounds the memory
-	// for functions that are requested only once; a function that is requested again later starts from the
-	// estimates of its class. It must exceed LoadCommandTimeout, because the policy ignores the result of a
-	// load command for a function that it has deleted.
+	// for functions that are requested only once, together with limitFunctions; a function that is requested
+	// again later starts from the estimates of its class.
 	functionRetention = 2 * time.Minute
 
 	// rngStream is the second half of the random generator's seed. Any fixed number works; it is the same at
@@ -50,8 +49,12 @@
 	requests  map[RequestID]*request
 	waiting   waitQueue // requests that no worker may take now; housekeeping places them again
 	functions map[FunctionID]*function
-	classes   []class       // by RequestArrived.Class
-	quotas    []tokenBucket // by RequestArrived.Tenant
+	// evictionThreshold is the number of entries at which limitFunctions evicts functions next, if it is above
+	// MaxFunctionEntries.
+	evictionThreshold int
+
+	classes []class       // by RequestArrived.Class
+	quotas  []tokenBucket // by RequestArrived.Tenant
 
 	estimates    fleetEstimates
 	loadBackoff  loadBackoff
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -67,6 +67,7 @@
 	}
 	p.loadCommands.recordRequest(p.now)
 	p.gossip.addBudget(p.cfg.RouterCount)
+	p.limitFunctions()
 	e.TimeLeft = max(e.TimeLeft, 0)
 	r := &request{arrived: e, function: p.recordFunctionRequest(e), deadline: p.now + e.TimeLeft}
 	p.requests[e.Request] = r
