Count the arrivals of the load command budget by clock reading

Change: recentEvents keeps one entry for each clock reading, of which a turn of the loop has one, and drops old ones at constant cost.

Evidence: TestRecentEvents, 100 events at each of 100 readings: the count is exact, in at most 24 entries. Flood not measured.

--- a/policy/doc.go
+++ b/policy/doc.go
@@ -35,6 +35,8 @@
 //   - gossip.go: routers tell each other which instances are loaded, if the settings allow it.
 //   - endpoints.go, classes.go, functions.go, instances.go: the state that is kept for a worker, for a class
 //     of requests, for a function, and for a function at a worker.
+//   - wait_queue.go, recent_events.go: requests that wait, and counts of events within a window, whose sizes
+//     clients cannot raise without limit. state.go: the sizes of the state, for logs and tests.
 //   - config_check.go: the settings that [New] rejects.
 //
 // The types of events, actions and settings are in config.go, events.go, actions.go and outcome.go.
--- a/policy/load_commands.go
+++ b/policy/load_commands.go
@@ -12,11 +12,11 @@
 // loadCommandBudget bounds the load commands within a window: an allowance, and additional commands for each
 // request that arrived in the window.
 type loadCommandBudget struct {
-	window     time.Duration   // 0: no bound
-	allowance  float64         // load commands that are always allowed
-	perRequest float64         // additional commands per request
-	commands   []time.Duration // send times of the commands within the window
-	requests   []time.Duration // arrival times of the requests within the window
+	window     time.Duration // 0: no bound
+	allowance  float64       // load commands that are always allowed
+	perRequest float64       // additional commands per request
+	commands   recentEvents  // the commands within the window
+	requests   recentEvents  // the requests within the window
 }
 
 func newLoadCommandBudget(cfg *Config) loadCommandBudget {
@@ -30,14 +30,15 @@
 // recordRequest counts a request that arrived at now.
 func (b *loadCommandBudget) recordRequest(now time.Duration) {
 	if b.window > 0 {
-		b.requests = append(dropBefore(now-b.window, b.requests), now)
+		b.requests.dropBefore(now - b.window)
+		b.requests.add(now)
 	}
 }
 
 // recordCommand counts a load command that is sent at now.
 func (b *loadCommandBudget) recordCommand(now time.Duration) {
 	if b.window > 0 {
-		b.commands = append(b.commands, now)
+		b.commands.add(now)
 	}
 }
 
@@ -48,15 +49,10 @@
 	if b.window <= 0 {
 		return true
 	}
-	b.commands = dropBefore(now-b.window, b.commands)
-	b.requests = dropBefore(now-b.window+1, b.requests)
-	budget := b.allowance + b.perRequest*float64(len(b.requests))
-	return float64(len(b.commands)+1) <= budget
-}
-
-// dropBefore removes the times before earliest, in place.
-func dropBefore(earliest time.Duration, times []time.Duration) []time.Duration {
-	return slices.DeleteFunc(times, func(t time.Duration) bool { return t < earliest })
+	b.commands.dropBefore(now - b.window)
+	b.requests.dropBefore(now - b.window + 1)
+	budget := b.allowance + b.perRequest*float64(b.requests.count)
+	return float64(b.commands.count+1) <= budget
 }
 
 // loadCommandAllowed reports whether a load command may be sent: to a ready worker, within the budget. A
