--- a/cmd/functionrouter/client_test.go
+++ b/cmd/functionrouter/client_test.go
@@ -97,8 +97,13 @@
 // sendInterrupt cancels the request with the given sequence number.
 func (c *testClient) sendInterrupt(sequence uint32) {
 	c.t.Helper()
+	c.sendBytes(interruptFrame(sequence))
+}
+
+// interruptFrame returns the frame of an interrupt of the request with the given sequence number.
+func interruptFrame(sequence uint32) []byte {
 	args := binary.BigEndian.AppendUint32([]byte{thriftInt32, 0, 1}, sequence)
-	c.sendBytes(frameMessage(thriftOneway, "interrupt", 0, args...))
+	return frameMessage(thriftOneway, "interrupt", 0, args...)
 }
 
 // callUntilRefused sends requests until the router, which must be shutting down, refuses one.
--- a/cmd/functionrouter/log_capture_test.go
+++ b/cmd/functionrouter/log_capture_test.go
@@ -41,6 +41,13 @@
 	return l.text.Len()
 }
 
+// since returns the log after the position offset.
+func (l *logCapture) since(offset int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()[offset:]
+}
+
 // waitFor waits until the log contains text after the position offset.
 func (l *logCapture) waitFor(t *testing.T, offset int, text string) {
 	t.Helper()
