Read a connection before it counts towards the limit, and never close one unread

Cause: connections that clients have closed wait in the backlog. The listener accepts up to 64 in a turn, and each counted as open until the next turn read its end. The limit was thus reached by closed connections, eviction skips what has unread input, and admit closed the new connection with the requests that waited in it.

Change: admit reads what has arrived at once; a client that is gone is answered and closed before the next accept, and is never registered with the poller. At the limit a new connection is closed only if nothing has arrived on it. Up to eight with requests are open beyond the limit, out of the descriptors' reserve; beyond that the listener pauses and the rest waits in the backlog. A connection that can't be polled is answered first. A shutdown does not end while a backlog was left.

The wait in the backlog counts: while a turn has left connections there, the requests of the next ones count as received when their connection was established (TCP_INFO), but not before the backlog was last seen empty.

--- a/cmd/functionrouter/limits.go
+++ b/cmd/functionrouter/limits.go
@@ -36,8 +36,8 @@
 	clientDescriptorDivisor = 3
 
 	// reservedDescriptors is the number of descriptors reserved for uses other than client and worker connections:
-	// pollers, listeners, the directory, notices, files, and an accepted connection beyond the limit until the router
-	// closes it.
+	// pollers, listeners, the directory, notices, files, and a few accepted connections beyond the limit (see
+	// eventloop.Config).
 	reservedDescriptors = 32
 
 	// reservedDescriptorDivisor limits the reserve to a quarter of the descriptors. It takes effect if there are fewer
--- a/cmd/functionrouter/shutdown.go
+++ b/cmd/functionrouter/shutdown.go
@@ -26,7 +26,7 @@
 // shutdown is the state of a graceful shutdown. All times are on the loop's clock.
 type shutdown struct {
 	startedAt    time.Duration // 0 before the shutdown begins
-	lastClientAt time.Duration // when a client connection was last seen open; initially startedAt
+	lastClientAt time.Duration // when a client connection was last open or waiting to be accepted; initially startedAt
 	lastLogAt    time.Duration // when logShutdownProgress last logged; initially startedAt
 	flushTimeout time.Duration // see config.flushTimeout
 }
@@ -54,8 +54,8 @@
 	s.router.BeginShutdown(now, now+s.shutdown.flushTimeout)
 }
 
-// advanceShutdown stops the loop once the grace period is over, no client connection has been open for the quiet
-// period, no request is open, and either no notice is open or the flush timeout has passed. Until the loop stops,
+// advanceShutdown stops the loop once the grace period is over, no client connection has been open or has been left in
+// the backlog for the quiet period, no request is open, and either no notice is open or the flush timeout has passed. Until the loop stops,
 // clients may send requests; after the grace period the router refuses them. advanceShutdown does not close any
 // connection, because a request may be in transit and its client may have no other router. It is called in each turn of
 // the loop once the shutdown has begun.
@@ -65,7 +65,7 @@
 	if graceOver {
 		s.router.StopAdmitting()
 	}
-	if s.loop.AcceptedConnections() > 0 {
+	if s.loop.AcceptedConnections() > 0 || s.loop.HasBacklog() {
 		s.shutdown.lastClientAt = now
 	}
 	if !graceOver || now-s.shutdown.lastClientAt < shutdownQuietPeriod {
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"net/netip"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // refusalLogInterval is the minimum time between two log lines about refused connections. A log line for each of them
@@ -17,28 +15,66 @@
 // is never passed to a handler.
 var errTooManyConnections = errors.New("too many accepted connections")
 
-// admit adds a connection that listener ln has accepted to the loop. If the limit on accepted connections is reached
-// and no connection can be evicted, or if the new connection can't be registered with the poller, admit closes it.
-func (l *Loop) admit(ln *listener, fd int, peer netip.AddrPort) {
-	if !l.ensureAcceptCapacity() {
-		l.refusals.Add()
-		l.closeCounts[OverLimit]++
-		closeDescriptor(fd)
-		return
-	}
+// maxConnectionsOverLimit is how many connections may be open beyond the limit on accepted connections because their
+// first requests had arrived when the limit was reached. The descriptors that Config.MaxAcceptedConnections leaves must
+// suffice for them.
+const maxConnectionsOverLimit = 8
+
+// mayAccept reports whether another connection may be accepted. If none may, connections wait in the backlog: an accepted
+// connection must not be closed before its input has been read, because the input may hold requests.
+func (l *Loop) mayAccept() bool {
+	return len(l.accepted) < l.cfg.MaxAcceptedConnections+maxConnectionsOverLimit || l.evict(anyConnection)
+}
+
+// admit adds a connection that listener ln has accepted to the loop, and reads the input that has already arrived:
+// clients that have closed their connections while these waited in the backlog do not count towards the limit on accepted
+// connections. inputTime is the earliest time at which the input may have arrived.
+//
+// If the limit is reached and no connection can be evicted, admit closes the new connection, unless input has arrived.
+func (l *Loop) admit(ln *listener, fd int, peer netip.AddrPort, inputTime time.Duration) {
 	c := &Conn{loop: l, socket: socket{fd: fd}, remoteAddr: peer, isAccepted: true, state: stateOpen}
-	if err := c.socket.register(l.poll, unix.EPOLLIN|unix.EPOLLRDHUP, c); err != nil {
-		slog.Error("accepted connection can't be polled", "address", peer, "error", err)
+	if !l.ensureAcceptCapacity() && !c.hasInput() {
+		l.refusals.Add()
 		l.closeCounts[OverLimit]++
 		closeDescriptor(fd)
 		return
 	}
-	disableNagle(fd)
 	l.acceptedCount++
 	l.accepted[c] = struct{}{}
 	c.activity.lastActivity = l.now
 	c.acceptedHandler = ln.accept(c)
 	c.handler = c.acceptedHandler
+	c.readFirstInput(inputTime)
+	if c.state.isClosed() {
+		return
+	}
+	disableNagle(fd)
+	if err := c.socket.register(l.poll, c.wantedEvents(), c); err != nil {
+		slog.Error("accepted connection can't be polled", "address", peer, "error", err)
+		c.closeUnpolled()
+	}
+}
+
+// readFirstInput reads the input of a connection that has just been accepted, which may have arrived since inputTime. If
+// the client has already closed its direction, it writes the answers and closes the connection at once.
+func (c *Conn) readFirstInput(inputTime time.Duration) {
+	turnInputTime := c.loop.inputTime
+	c.loop.inputTime = min(inputTime, turnInputTime)
+	c.readUpTo(maxReadsAtEnd, true)
+	c.loop.inputTime = turnInputTime
+	if !c.state.isClosed() && !c.state.wantsInput() {
+		c.flush()
+	}
+}
+
+// closeUnpolled closes an accepted connection that can't be registered with the poller. Its requests are answered first,
+// as if the client had closed its direction.
+func (c *Conn) closeUnpolled() {
+	if c.state.apply(eventEndOfInput) {
+		c.acceptedHandler.OnEndOfInput()
+	}
+	c.flush()
+	c.closeWithCause(OverLimit)
 }
 
 // AcceptedCount returns how many connections were accepted since the start. Refused connections are not counted.
@@ -54,12 +90,19 @@
 // ensureAcceptCapacity reports whether another connection may be accepted. If the limit is reached, it first tries to
 // evict a connection.
 func (l *Loop) ensureAcceptCapacity() bool {
-	return len(l.accepted) < l.cfg.MaxAcceptedConnections || l.evict(anyConnection)
+	return l.isBelowConnectionLimit() || l.evict(anyConnection)
 }
 
-// logRefusals logs how many connections were refused since the previous such log line, if there were any.
+// isBelowConnectionLimit reports whether fewer connections are accepted than the limit allows.
+func (l *Loop) isBelowConnectionLimit() bool { return len(l.accepted) < l.cfg.MaxAcceptedConnections }
+
+// logRefusals logs how many connections were refused, and how often listeners had to pause, since the previous such log
+// lines, if there were any.
 func (l *Loop) logRefusals() {
 	if count, due := l.refusals.Ready(l.now); due {
 		slog.Warn("connections refused", "count", count, "error", errTooManyConnections)
 	}
+	if count, due := l.backlogPauses.Ready(l.now); due {
+		slog.Warn("connections wait to be accepted", "pauses", count, "error", errTooManyConnections)
+	}
 }
--- a/internal/eventloop/close_cause.go
+++ b/internal/eventloop/close_cause.go
@@ -39,8 +39,8 @@
 	// Evicted: closed to make room for a new connection.
 	Evicted // evicted
 
-	// OverLimit: the connection was refused because the limit on accepted connections was reached and none could be
-	// evicted, or because it could not be registered with the poller.
+	// OverLimit: the connection was refused, before any input had arrived, because the limit on accepted connections was
+	// reached and none could be evicted; or it could not be registered with the poller.
 	OverLimit // over_limit
 
 	// ClosedByHandler: the protocol's handler closed the connection. The handler logs the reason itself.
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -36,9 +36,8 @@
 // RemoteAddr returns the peer's address, or the zero AddrPort if it is not known.
 func (c *Conn) RemoteAddr() netip.AddrPort { return c.remoteAddr }
 
-// updateInterest registers the socket for the events that the connection waits for: input, and space for its unsent
-// bytes.
-func (c *Conn) updateInterest() {
+// wantedEvents returns the events that the connection waits for: input, and space for its unsent bytes.
+func (c *Conn) wantedEvents() uint32 {
 	var events uint32
 	if c.state.wantsInput() {
 		events |= unix.EPOLLIN | unix.EPOLLRDHUP
@@ -46,7 +45,14 @@
 	if len(c.unsent) > 0 {
 		events |= unix.EPOLLOUT
 	}
-	if c.state.isClosed() || events == c.socket.interest {
+	return events
+}
+
+// updateInterest makes the poller report the events that the connection waits for. It has no effect while admit has not
+// registered the connection.
+func (c *Conn) updateInterest() {
+	events := c.wantedEvents()
+	if c.state.isClosed() || !c.socket.isRegistered() || events == c.socket.interest {
 		return
 	}
 	if err := c.socket.setInterest(c.loop.poll, events); err != nil {
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -27,6 +28,10 @@
 	// doublings.
 	maxAcceptDoublings = 8
 
+	// capacityPause is how long a listener pauses if no connection may be accepted, unless a connection closes earlier.
+	// Open connections may become evictable meanwhile.
+	capacityPause = 5 * time.Millisecond
+
 	// acceptLogInterval is the minimum time between two log lines about failed accepts of a listener.
 	acceptLogInterval = time.Second
 )
@@ -42,9 +47,16 @@
 
 	socket   socket
 	failures int           // consecutive failed accepts
-	paused   bool          // the listener is not polled because accept fails
+	paused   bool          // the listener is not polled because accept fails, or awaitsCapacity is true
 	resumeAt time.Duration // when the pause ends
-	loggedAt time.Duration // when a failed accept was last logged; 0 if none was
+	// awaitsCapacity means that the pause ends earlier if a connection closes.
+	awaitsCapacity bool
+	// backlogged means that connections may be left in the backlog: the last turn in which the poller reported some has
+	// not accepted them all.
+	backlogged bool
+	reported   bool          // the poller has reported connections in this turn
+	emptiedAt  time.Duration // when the backlog was last found empty; initially when the listener was opened
+	loggedAt   time.Duration // when a failed accept was last logged; 0 if none was
 }
 
 // Listen registers a listener on addr, a "host:port". Without a host it listens on all addresses, IPv4 and IPv6. Listen
@@ -78,6 +90,7 @@
 	if err := ln.bind(addr); err != nil {
 		return fmt.Errorf("listen on %s: %w", ln.addr, err)
 	}
+	ln.emptiedAt = ln.loop.now
 	if err := ln.socket.register(ln.loop.poll, unix.EPOLLIN, ln); err != nil {
 		ln.close()
 		return fmt.Errorf("register the listener on %s with the poller: %w", ln.addr, err)
@@ -121,17 +134,47 @@
 // onEvents accepts the waiting connections, up to maxAcceptsPerTurn. The poller is level-triggered: if connections are
 // left, the next wait returns at once.
 func (ln *listener) onEvents(uint32) {
+	wasBacklogged := ln.backlogged
+	ln.reported = true
+	ln.backlogged = true
 	for range maxAcceptsPerTurn {
+		if !ln.loop.mayAccept() {
+			ln.pauseForCapacity()
+			return
+		}
 		fd, peer, err := ln.loop.calls.accept(ln.socket.fd)
 		if err == nil {
 			ln.failures = 0
-			ln.loop.admit(ln, fd, addrPortOf(peer))
+			ln.loop.admit(ln, fd, addrPortOf(peer), ln.inputTime(fd, wasBacklogged))
 			continue
 		}
-		if errors.Is(err, unix.EAGAIN) || !ln.handleError(err) {
+		if errors.Is(err, unix.EAGAIN) {
+			ln.recordEmptyBacklog()
 			return
 		}
+		if !ln.handleError(err) {
+			return
+		}
+	}
+}
+
+func (ln *listener) recordEmptyBacklog() {
+	ln.backlogged = false
+	ln.emptiedAt = ln.loop.now
+}
+
+// inputTime returns the earliest time at which input of the accepted connection fd may have arrived. If the backlog was
+// empty after the previous turn, the connection did not wait in it, except during a pause that Loop.InputTime takes into
+// account. Otherwise the input may have arrived as soon as the connection was established.
+func (ln *listener) inputTime(fd int, wasBacklogged bool) time.Duration {
+	if !wasBacklogged {
+		return ln.loop.inputTime
+	}
+	age, err := ln.loop.calls.connectionAge(fd)
+	if err != nil {
+		return ln.emptiedAt
 	}
+	return max(ln.loop.now-age, ln.emptiedAt)
 }
 
 // handleError handles a failed accept. It reports whether accept may be called again at once.
@@ -169,26 +212,61 @@
 	return min(minAcceptPause<<doublings, maxAcceptPause)
 }
 
-// pause stops polling the listener until resumeAt. It logs err, the error of the failed accept, at most once per
-// acceptLogInterval.
+// pauseForCapacity stops polling the listener because no connection may be accepted.
+func (ln *listener) pauseForCapacity() {
+	ln.loop.backlogPauses.Add()
+	ln.pauseFor(capacityPause)
+	ln.awaitsCapacity = ln.paused
+}
+
+// pause stops polling the listener because accept has failed with err. It logs err at most once per acceptLogInterval.
 func (ln *listener) pause(err error) {
 	now := ln.loop.now
 	if ln.loggedAt == 0 || now-ln.loggedAt >= acceptLogInterval {
 		ln.loggedAt = now
 		slog.Error("accept failed", "address", ln.addr, "error", err)
 	}
+	ln.pauseFor(pauseAfter(ln.failures))
+}
+
+// pauseFor stops polling the listener for a time.
+func (ln *listener) pauseFor(duration time.Duration) {
 	if err := ln.socket.setInterest(ln.loop.poll, 0); err != nil {
 		return // the listener stays polled, and the next turn tries to accept again
 	}
 	ln.paused = true
-	ln.resumeAt = now + pauseAfter(ln.failures)
+	ln.resumeAt = ln.loop.now + duration
 }
 
-// resumeAccepting resumes polling of the listeners whose pause has ended.
+// resumeTime returns when the listener's pause ends, which is at once if it waits for a connection to close and one has
+// closed. It returns never if the listener is not paused.
+func (ln *listener) resumeTime() time.Duration {
+	switch {
+	case !ln.paused:
+		return never
+	case ln.awaitsCapacity && ln.loop.isBelowConnectionLimit():
+		return ln.loop.now
+	default:
+		return ln.resumeAt
+	}
+}
+
+// resumeAccepting resumes polling of the listeners whose pause has ended, and records that the backlog of a polled
+// listener is empty if the poller has reported no connection in this turn.
 func (l *Loop) resumeAccepting() {
 	for _, ln := range l.listeners {
-		if ln.paused && l.now >= ln.resumeAt && ln.socket.setInterest(l.poll, unix.EPOLLIN) == nil {
+		if !ln.paused && !ln.reported {
+			ln.recordEmptyBacklog()
+		}
+		ln.reported = false
+		if l.now >= ln.resumeTime() && ln.socket.setInterest(l.poll, unix.EPOLLIN) == nil {
 			ln.paused = false
+			ln.awaitsCapacity = false
 		}
 	}
 }
+
+// HasBacklog reports whether connections may wait to be accepted because a turn could not accept them all.
+func (l *Loop) HasBacklog() bool {
+	return slices.ContainsFunc(l.listeners, func(ln *listener) bool { return ln.backlogged })
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -20,7 +20,9 @@
 
 // Config sets the limits of a Loop.
 type Config struct {
-	MaxAcceptedConnections int // limit on accepted connections that are open at the same time
+	// MaxAcceptedConnections is the limit on accepted connections that are open at the same time. Up to
+	// maxConnectionsOverLimit more are open while their first requests are answered.
+	MaxAcceptedConnections int
 	MaxUnreadBytes         int // limit on the bytes that all peers, accepted and dialed, leave unread in total
 }
 
@@ -50,6 +52,7 @@
 	readBuffer      []byte           // shared by all sockets
 	lastSweep       time.Duration    // when sweep last ran
 	refusals        logging.Throttle // connections refused because of Config.MaxAcceptedConnections
+	backlogPauses   logging.Throttle // pauses of listeners because no connection could be accepted
 	interrupted     interruptedLog
 
 	acceptedCount uint64      // connections accepted since the start
@@ -60,18 +63,20 @@
 func New(cfg Config) *Loop {
 	c := clock{start: time.Now()}
 	return &Loop{
-		cfg:         cfg,
-		clock:       c,
-		calls:       kernelCalls{},
-		accepted:    map[*Conn]struct{}{},
-		dialing:     map[*Conn]struct{}{},
-		dialed:      map[*Conn]struct{}{},
-		udpConns:    map[*UDPConn]struct{}{},
-		now:         c.now(),
-		inputTime:   c.now(),
-		readBuffer:  make([]byte, readBufferSize),
-		refusals:    logging.Throttle{Interval: refusalLogInterval},
-		interrupted: newInterruptedLog(),
+		cfg:        cfg,
+		clock:      c,
+		calls:      kernelCalls{},
+		accepted:   map[*Conn]struct{}{},
+		dialing:    map[*Conn]struct{}{},
+		dialed:     map[*Conn]struct{}{},
+		udpConns:   map[*UDPConn]struct{}{},
+		now:        c.now(),
+		inputTime:  c.now(),
+		readBuffer: make([]byte, readBufferSize),
+		refusals:   logging.Throttle{Interval: refusalLogInterval},
+
+		backlogPauses: logging.Throttle{Interval: refusalLogInterval},
+		interrupted:   newInterruptedLog(),
 	}
 }
 
@@ -200,9 +205,7 @@
 		}
 	}
 	for _, ln := range l.listeners {
-		if ln.paused {
-			next = min(next, ln.resumeAt)
-		}
+		next = min(next, ln.resumeTime())
 	}
 	return next
 }
--- a/internal/eventloop/manual_loop_test.go
+++ b/internal/eventloop/manual_loop_test.go
@@ -16,6 +16,15 @@
 	kernelCalls
 	connectResultError error
 	writeError         error
+	age                time.Duration // the age of all connections, if it or ageError is set
+	ageError           error
+}
+
+func (s *scriptedCalls) connectionAge(fd int) (time.Duration, error) {
+	if s.age > 0 || s.ageError != nil {
+		return s.age, s.ageError
+	}
+	return s.kernelCalls.connectionAge(fd)
 }
 
 func (s *scriptedCalls) connectResult(fd int) error {
--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -5,8 +5,8 @@
 
 // socket is a non-blocking descriptor and its registration with the poller.
 type socket struct {
-	fd       int // noDescriptor while it is not open
-	token    token
+	fd       int    // noDescriptor while it is not open
+	token    token  // 0 before the registration; that is wakeToken, which no socket has
 	interest uint32 // the events that the poller reports, a mask of unix.EPOLL*
 }
 
@@ -22,6 +22,9 @@
 	return nil
 }
 
+// isRegistered reports whether the socket has been registered.
+func (s *socket) isRegistered() bool { return s.token != wakeToken }
+
 // setInterest changes the events that the poller reports.
 func (s *socket) setInterest(p *poller, events uint32) error {
 	if err := p.modify(s.fd, s.token, events); err != nil {
--- a/internal/eventloop/syscalls.go
+++ b/internal/eventloop/syscalls.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,6 +22,9 @@
 	connectResult(fd int) error
 	// accept takes a connection from the backlog, as a non-blocking socket. EAGAIN means that none waits.
 	accept(listener int) (fd int, peer unix.Sockaddr, err error)
+	// connectionAge returns how long ago a connection that accept has returned was established, if nothing has been
+	// written to it. The kernel rounds it to its ticks of 1 to 10 ms.
+	connectionAge(fd int) (time.Duration, error)
 	// read reads up to len(b) bytes, or one datagram. An n of 0 without an error is the end of a stream's input. EAGAIN
 	// means that nothing has arrived.
 	read(fd int, b []byte) (n int, err error)
@@ -57,6 +61,16 @@
 	return unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 }
 
+// connectionAge implements systemCalls. The kernel sets the time of the last data sent when the connection is
+// established.
+func (kernelCalls) connectionAge(fd int) (time.Duration, error) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_data_sent) * time.Millisecond, nil
+}
+
 func (kernelCalls) read(fd int, b []byte) (int, error) { return unix.Read(fd, b) }
 
 func (kernelCalls) peek(fd int, b []byte) (int, error) {
