End the keep-alive check of a connection with any answer, and close one on which only a check is pending

Cause (docs/OPEN.md, "A dead connection to a worker is kept"; state that some order leaves without an end): a check stayed among the pending calls until its own answer came, and a connection with a pending call is never idle. If the network has cut it off and its last attempt is cancelled, it counted towards the limits on connections for ever; a worker that answers requests but not the checks collected one pending call for each of them.

Change: any complete answer ends the check, and a connection on which only a check is pending is idle: it is closed after the workers' idle timeout, or at once when its worker is gone.

--- a/internal/backend/connection_end.go
+++ b/internal/backend/connection_end.go
@@ -45,7 +45,7 @@
 // attempts and load commands end as ConnectionReset, because the worker may have executed them. Its pending health
 // checks are sent again up to maxHealthCheckResends times.
 func (c *connection) OnClose(err error) {
-	if len(c.pending) > 0 {
+	if !c.idle() {
 		c.pool.lostConnections.record(c.pool.now, c.worker.address, len(c.pending), err)
 	}
 	c.terminate(connectionEnd{outcome: policy.ConnectionReset})
--- a/internal/backend/connection_state.go
+++ b/internal/backend/connection_state.go
@@ -40,8 +40,10 @@
 	stateClosed // closed
 )
 
-// idle reports whether no call is pending on c.
-func (c *connection) idle() bool { return len(c.pending) == 0 }
+// idle reports whether no call is pending on c, except for an unanswered keep-alive check.
+func (c *connection) idle() bool {
+	return len(c.pending) == 0 || len(c.pending) == 1 && c.keepAlive.awaitsAnswer()
+}
 
 // acceptsCalls reports whether new calls may be sent over c, immediately or once its dial succeeds.
 func (c *connection) acceptsCalls() bool { return c.state == stateConnecting || c.state == stateReady }
--- a/internal/backend/keep_alive.go
+++ b/internal/backend/keep_alive.go
@@ -29,16 +29,26 @@
 // its result is used only in this package. A health check tests a worker, and its result is reported to the policy.
 //
 // A keep-alive check is sent as a call of kind keepAliveCall. Any complete answer on the connection answers the check,
-// because it shows that the connection works. The call itself stays in connection.pending until the answer with the
-// call's own wire ID arrives.
+// because it shows that the connection works; an answer with the call's own wire ID that arrives later is ignored. A
+// connection on which only a check is pending counts as idle, so that a connection that the network has cut off is closed
+// although its check is never answered.
 type keepAlive struct {
 	lastAnswerAt             time.Duration // when the last complete answer arrived
 	latestSendOfAnsweredCall time.Duration // latest send time among the answered calls of the connection
-	checkSentAt              time.Duration // when the unanswered keep-alive check was sent; 0 if there is none
+	check                    *pendingCall  // the unanswered keep-alive check; nil if there is none
 }
 
 // awaitsAnswer reports whether a keep-alive check was sent and no complete answer has arrived since then.
-func (k *keepAlive) awaitsAnswer() bool { return k.checkSentAt > 0 }
+func (k *keepAlive) awaitsAnswer() bool { return k.check != nil }
+
+// recordAnswer records a complete answer on c, which answers the keep-alive check.
+func (c *connection) recordAnswer() {
+	c.keepAlive.lastAnswerAt = c.pool.now
+	if check := c.keepAlive.check; check != nil {
+		c.keepAlive.check = nil
+		c.release(check)
+	}
+}
 
 // checkResponsiveness sends a keep-alive check over a connection that has received no complete answer for
 // keepAliveAfter, and closes the connection if the check is unanswered for keepAliveTimeout while the worker answers on
@@ -55,7 +65,7 @@
 		c.sendKeepAliveCheck()
 		return
 	}
-	checkSentAt := c.keepAlive.checkSentAt
+	checkSentAt := c.keepAlive.check.sentAt
 	if now-checkSentAt > keepAliveTimeout && c.worker.answeredCallSentAfter(checkSentAt) {
 		c.closeWithError(errUnresponsiveConnection)
 	}
@@ -75,7 +85,7 @@
 // sendKeepAliveCheck sends a keep-alive check over c. From then until a complete answer arrives, Pool.preferenceFor
 // returns unresponsive for c, or notEligible for a call that c must not carry.
 func (c *connection) sendKeepAliveCheck() {
-	c.keepAlive.checkSentAt = c.pool.now
 	c.pool.keepAlivesSent++
-	c.send(newKeepAliveCall(c.pool.keepAlivesSent))
+	c.keepAlive.check = newKeepAliveCall(c.pool.keepAlivesSent)
+	c.send(c.keepAlive.check)
 }
--- a/internal/backend/keep_alive_test.go
+++ b/internal/backend/keep_alive_test.go
@@ -84,3 +84,53 @@
 		t.Errorf("%d connections, want 1; first connection closed: %v, want false", len(p.transports), transport.Closed)
 	}
 }
+
+// Guards against connections that are kept for ever: the network has cut one off, and its last attempt is cancelled while
+// its keep-alive check is unanswered.
+func TestConnectionWithOnlyAKeepAliveCheckIsIdle(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		state policy.WorkerState
+		after time.Duration // until the connection must be closed
+	}{
+		{"ready worker", policy.Ready, 31 * time.Second}, // more than the workers' idle timeout
+		{"worker that is gone", policy.Gone, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestPool()
+			now := time.Hour
+			p.Sweep(now)
+			transport := p.startOnOpenConnection(firstAttempt(1), hexID(0xa1))
+			now += keepAliveAfter + SweepInterval
+			p.Sweep(now)
+			if !transport.wrote("NOOP") {
+				t.Fatalf("wrote %q, want a keep-alive check", transport.Written.String())
+			}
+			p.CancelAttempt(workerID, firstAttempt(1))
+			p.UpdateEndpoint(workerID, workerAddress, test.state, 0)
+			p.Sweep(now + test.after)
+			if !transport.Closed {
+				t.Error("the connection is open, want it closed")
+			}
+		})
+	}
+}
+
+// Guards against keep-alive checks that stay pending for ever because a worker answers requests but not the checks: each
+// would take memory, and the connection would never be idle.
+func TestAnyAnswerEndsTheKeepAliveCheck(t *testing.T) {
+	p := newTestPool()
+	now := time.Hour
+	p.Sweep(now)
+	transport := p.startOnOpenConnection(firstAttempt(1), hexID(1))
+	for n := 1; n <= 100; n++ {
+		now += keepAliveAfter + SweepInterval
+		p.Sweep(now)
+		transport.handler.OnData(encodeAnswer(hexID(n), "HIT", ""))
+		p.start(firstAttempt(n+1), hexID(n+1))
+	}
+	c := p.workers[workerID].connections[0]
+	if checks := strings.Count(transport.Written.String(), "NOOP"); checks != 100 || len(c.pending) != 1 {
+		t.Errorf("%d calls are pending after %d keep-alive checks, want 1 after 100", len(c.pending), checks)
+	}
+}
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -104,15 +104,16 @@
 	if err != nil {
 		return err
 	}
-	c.keepAlive.lastAnswerAt = c.pool.now
-	c.keepAlive.checkSentAt = 0
 	call := c.pending[string(a.wireID)]
+	if call != nil {
+		if err := a.checkFor(call); err != nil {
+			return err
+		}
+	}
+	c.recordAnswer()
 	if call == nil {
 		return nil
 	}
-	if err := a.checkFor(call); err != nil {
-		return err
-	}
 	c.release(call)
 	c.lastUsedAt = c.pool.now
 	c.keepAlive.latestSendOfAnsweredCall = max(c.keepAlive.latestSendOfAnsweredCall, call.sentAt)
