End the wait of a request with the deadline of its class

Change: Submit limits the deadline by the class's, for all frontends; webhooks were limited already.

Evidence: TestDeadlineIsLimitedByTheClass.

--- a/cmd/functionrouter/limits.go
+++ b/cmd/functionrouter/limits.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // fullMemoryMB is the memory, in MiB, to which the byte limits below refer. It is the limit that the platform usually
 // sets. With less memory, scaleToMemory reduces the byte limits in proportion; with more memory, they stay the same.
@@ -94,11 +97,16 @@
 
 // flushTimeout returns the longest time after SIGTERM in which the router answers requests and waits for notices.
 func (c *config) flushTimeout() time.Duration {
-	longest := time.Duration(0)
-	for _, class := range c.policy.Classes {
-		longest = max(longest, class.Deadline)
+	return min(slices.Max(c.maxWaits()), maxFlushDeadline) + flushMargin
+}
+
+// maxWaits returns the longest time that a client waits, by class.
+func (c *config) maxWaits() []time.Duration {
+	waits := make([]time.Duration, len(c.policy.Classes))
+	for i, class := range c.policy.Classes {
+		waits[i] = class.Deadline
 	}
-	return min(longest, maxFlushDeadline) + flushMargin
+	return waits
 }
 
 // refusalRetryAfter returns the Retry-After of the refusals that the router decides without the policy: refusals at
--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -83,6 +83,7 @@
 		MaxOpenRequests:    c.maxOpenRequests(),
 		MaxBodyBytes:       c.scaleToMemory(maxBodyBytes),
 		RetryAfter:         c.refusalRetryAfter(),
+		MaxWaits:           c.maxWaits(),
 		MaxAttempts:        c.policy.MaxAttempts,
 		LoadCommandTimeout: c.policy.LoadCommandTimeout,
 		HealthCheckTimeout: healthCheckTimeout,
--- a/internal/router/deadline.go
+++ b/internal/router/deadline.go
@@ -22,6 +22,19 @@
 	return wait - min(answerMargin, wait/answerMarginDivisor)
 }
 
+// limitDeadline returns the deadline of a new request: the earliest of the requested one, the end of the longest wait of
+// its class, and the end of the shutdown.
+func (r *Router) limitDeadline(req *Request) time.Duration {
+	deadline := req.Deadline
+	if r.limits.MaxWaits != nil {
+		deadline = min(deadline, r.now+AnswerBudget(r.limits.MaxWaits[req.Class]))
+	}
+	if r.latestDeadline > 0 {
+		deadline = min(deadline, r.latestDeadline)
+	}
+	return deadline
+}
+
 // deadlineTolerance is the time before the deadline from which the answer to an unserved request is marked as
 // DeadlineExceeded (see Response). The policy ends a request answerMarginTicks ticks (policy/requests.go) before the
 // deadline, 8 ms with this deployment's settings, so that the answer is not late.
--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -198,3 +199,26 @@
 		})
 	}
 }
+
+// Guards against requests that outlive all figures of the settings because their clients say that they wait for ten
+// minutes: the wait of a request ends with the longest wait of its class.
+func TestDeadlineIsLimitedByTheClass(t *testing.T) {
+	r, _ := newTestRouter(t, 1)
+	r.limits.MaxWaits = []time.Duration{idempotentClass: 2 * time.Second, notIdempotentClass: 3 * time.Second}
+	for class, longest := range r.limits.MaxWaits {
+		for _, wait := range []time.Duration{time.Second, 10 * time.Minute} {
+			id := r.Submit(testStart, Request{
+				Responder: &recordingResponder{}, ID: fmt.Sprint(class, wait), Class: class, Function: 7,
+				Deadline: testStart + AnswerBudget(wait),
+			})
+			want := testStart + AnswerBudget(min(wait, longest))
+			if got := r.requests.byID[id].Deadline; got != want {
+				t.Errorf("class %d, wait %v: deadline %v, want %v", class, wait, got-testStart, want-testStart)
+			}
+		}
+	}
+	last := r.events.pending[len(r.events.pending)-1].(policy.RequestArrived)
+	if want := AnswerBudget(3 * time.Second); last.TimeLeft != want {
+		t.Errorf("the policy gets the time left %v, want %v", last.TimeLeft, want)
+	}
+}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -26,7 +26,7 @@
 		return 0
 	}
 	req.ReceivedAt = r.now
-	req.Deadline = r.limitDeadline(req.Deadline)
+	req.Deadline = r.limitDeadline(&req)
 	id := r.requests.add(req)
 	r.events.add(policy.RequestArrived{
 		Request:     id,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,9 @@
 type Limits struct {
 	MaxOpenRequests int // number of requests that are open or have attempts that have not ended
 	MaxBodyBytes    int // total size of the bodies of all open requests
+	// MaxWaits holds, by class, the longest time that a client waits, as the settings give it. The deadline of a request
+	// is not later, whatever its client asks for. nil: no limit.
+	MaxWaits []time.Duration
 	// RetryAfter is the Response.RetryAfter of the answers that the Router gives without the policy: to a request that
 	// RefuseAtOnce refuses, that enforceDeadline ends, or whose client closed its side of the connection (Disconnect).
 	// 0 means that the answers specify no time.
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -21,11 +21,3 @@
 
 // StopAdmitting makes Submit refuse all further requests, because the process is about to end.
 func (r *Router) StopAdmitting() { r.admissionStopped = true }
-
-// limitDeadline returns the deadline of a new request: the requested one, or latestDeadline if that is set and earlier.
-func (r *Router) limitDeadline(deadline time.Duration) time.Duration {
-	if r.latestDeadline == 0 {
-		return deadline
-	}
-	return min(deadline, r.latestDeadline)
-}
