--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"time"
 
 	"functionrouter/internal/backend"
@@ -82,8 +83,8 @@
 	return router.Limits{
 		MaxOpenRequests:    c.maxOpenRequests(),
 		MaxBodyBytes:       c.scaleToMemory(maxBodyBytes),
-		RetryAfter:         c.refusalRetryAfter(),
 		MaxWaits:           c.maxWaits(),
+		RetryAfter:         c.refusalRetryAfter(),
 		MaxAttempts:        c.policy.MaxAttempts,
 		LoadCommandTimeout: c.policy.LoadCommandTimeout,
 		HealthCheckTimeout: healthCheckTimeout,
@@ -98,6 +99,7 @@
 		LoadReportFields:        s.cfg.policy.LoadReportFields,
 		DialTimeout:             milliseconds(limits.DialTimeoutMs),
 		IdleTimeout:             milliseconds(limits.IdleTimeoutMs),
+		RecentIDLifetime:        slices.Max(s.cfg.maxWaits()),
 		MaxStreamsPerConnection: limits.StreamsPerConnection,
 		MaxConnections:          s.cfg.maxWorkerConnections(),
 		AllowCancel:             s.cfg.policy.AllowCancel,
--- a/internal/backend/endings_test.go
+++ b/internal/backend/endings_test.go
@@ -33,7 +33,7 @@
 		t.Errorf("second attempt ended with %v and body %q, want one outcome and %q; "+
 			"attempts written to the connections %v, want two", ended, body, "done", p.transportsWithAttempt(id))
 	}
-	for now := time.Duration(0); now <= 3*recentIDLifetime; now += SweepInterval {
+	for now := time.Duration(0); now <= 3*p.cfg.RecentIDLifetime; now += SweepInterval {
 		p.Sweep(now)
 	}
 	for _, c := range p.workers[workerID].connections {
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -68,6 +68,7 @@
 		LoadReportFields:        []string{"inflight"},
 		DialTimeout:             time.Second,
 		IdleTimeout:             30 * time.Second,
+		RecentIDLifetime:        8 * time.Second,
 		MaxStreamsPerConnection: 2,
 		MaxConnections:          100,
 		AllowCancel:             true,
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -40,13 +40,16 @@
 
 // Config holds the settings of a Pool.
 type Config struct {
-	Classes                 []string      // names of the request classes; indexed by router.Request.Class
-	LoadReportFields        []string      // names of a load report's fields, in the order of its values
-	DialTimeout             time.Duration // limit on one dial
-	IdleTimeout             time.Duration // idle time after which workers close a connection
-	MaxStreamsPerConnection int           // limit on the concurrent attempts on one connection
-	MaxConnections          int           // limit on the connections to all workers together
-	AllowCancel             bool          // whether CancelAttempt sends a cancel command to the worker
+	Classes          []string      // names of the request classes; indexed by router.Request.Class
+	LoadReportFields []string      // names of a load report's fields, in the order of its values
+	DialTimeout      time.Duration // limit on one dial
+	IdleTimeout      time.Duration // idle time after which workers close a connection
+	// RecentIDLifetime is how long a connection does not carry an attempt with the wire ID of an earlier one again. It
+	// must be at least the longest time between the first and the last attempt of a request.
+	RecentIDLifetime        time.Duration
+	MaxStreamsPerConnection int  // limit on the concurrent attempts on one connection
+	MaxConnections          int  // limit on the connections to all workers together
+	AllowCancel             bool // whether CancelAttempt sends a cancel command to the worker
 
 	// Dial opens a connection to addr, a "host:port", and returns its Transport, which must not be nil. h receives the
 	// connection's events. OnOpen, with the result of the dial, must be called in a later turn of the event loop: if a
--- a/internal/backend/sweep.go
+++ b/internal/backend/sweep.go
@@ -34,7 +34,7 @@
 // sweepConnection does the periodic work for one connection. After the rotation of recentIDs, only the first case that
 // applies is executed.
 func (p *Pool) sweepConnection(c *connection) {
-	c.recentIDs.rotate(p.now)
+	c.recentIDs.rotate(p.now, p.cfg.RecentIDLifetime)
 	switch {
 	case c.state == stateConnecting: // the dial has a timeout of its own
 	case c.state == stateReady && c.recentIDs.full():
