Limit the arrivals of a turn, and forget at once a request that the policy does not know

Change: a request that ends before the policy has got its arrival is removed at once, and within a turn at most twice MaxOpenRequests arrive; further ones are refused at once.

Evidence: TestArrivalsWithinATurnAreLimited.

--- a/internal/router/deadline.go
+++ b/internal/router/deadline.go
@@ -66,5 +66,7 @@
 	r.Counters.Overdue++
 	r.noResultLog.record(r.now, p, status.outcome(), deadlineGuardCause)
 	r.respondUnserved(id, p, Response{Status: status, RetryAfter: r.limits.RetryAfter})
-	r.events.add(policy.ClientCancelled{Request: id})
+	if p.known {
+		r.events.add(policy.ClientCancelled{Request: id})
+	}
 }
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -28,6 +28,7 @@
 	req.ReceivedAt = r.now
 	req.Deadline = r.limitDeadline(&req)
 	id := r.requests.add(req)
+	r.undelivered++
 	r.events.add(policy.RequestArrived{
 		Request:     id,
 		Class:       req.Class,
@@ -44,9 +45,11 @@
 
 // withinLimits reports whether the limits allow req, with its body, as one more open request. Requests that their clients
 // have withdrawn count until their attempts have ended: where attempts can't be cancelled, a client could otherwise leave
-// any number of them behind.
+// any number of them behind. The arrivals that the policy has not got yet are limited too, open or not, because clients
+// that withdraw at once could queue any number of them within a turn of the event loop.
 func (r *Router) withinLimits(req *Request) bool {
 	return r.requests.notDone() < r.limits.MaxOpenRequests &&
+		r.undelivered < maxUndeliveredFactor*r.limits.MaxOpenRequests &&
 		r.requests.bodyBytes+len(req.Body) <= r.limits.MaxBodyBytes
 }
 
@@ -80,7 +83,9 @@
 		r.noResultLog.record(r.now, p, RequestCancelled, cause.String())
 	}
 	r.close(id, p, RequestCancelled)
-	r.events.add(policy.ClientCancelled{Request: id})
+	if p.known {
+		r.events.add(policy.ClientCancelled{Request: id})
+	}
 }
 
 // Disconnect ends a request whose client has closed its side of the connection. The Router can't tell whether the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,9 +24,15 @@
 // maxProcessInterval is the maximum time between two calls of Process when no timer is set.
 const maxProcessInterval = time.Hour
 
+// maxUndeliveredFactor is the factor by which the limit on requests that arrive between two calls of Process exceeds
+// Limits.MaxOpenRequests. Most of them must have ended by then if it is reached.
+const maxUndeliveredFactor = 2
+
 // Limits bounds the requests that a Router holds and the time for which it waits for workers.
 type Limits struct {
-	MaxOpenRequests int // number of requests that are open or have attempts that have not ended
+	// MaxOpenRequests limits the requests that are open or have attempts that have not ended. maxUndeliveredFactor times
+	// as many may arrive between two calls of Process.
+	MaxOpenRequests int
 	MaxBodyBytes    int // total size of the bodies of all open requests
 	// MaxWaits holds, by class, the longest time that a client waits, as the settings give it. The deadline of a request
 	// is not later, whatever its client asks for. nil: no limit.
@@ -72,6 +78,7 @@
 	// latestDeadline is an upper bound for the deadlines of all requests; 0 means no bound. See BeginShutdown.
 	latestDeadline   time.Duration
 	admissionStopped bool // see StopAdmitting
+	undelivered      int  // number of queued RequestArrived events
 
 	onRequestEnd func(now time.Duration, req *Request, outcome RequestOutcome)
 
@@ -134,9 +141,12 @@
 func (r *Router) deliver(event policy.Event) {
 	switch e := event.(type) {
 	case policy.RequestArrived:
-		if r.requests.findOpen(e.Request) == nil {
+		r.undelivered--
+		p := r.requests.findOpen(e.Request)
+		if p == nil {
 			return
 		}
+		p.known = true
 	case policy.AttemptEnded:
 		e.RequestClosed = r.requests.findOpen(e.Request) == nil
 		event = e
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -11,6 +11,7 @@
 	openAttempts           int       // number of attempts that have not ended
 	endedAttemptMayHaveRun bool      // true if an attempt ended and its outcome does not prove that it never ran
 	closed                 bool      // the request was answered, or cancelled by the client
+	known                  bool      // the policy has got the arrival of the request
 	done                   bool      // the request is closed, and all its attempts have ended; see requestTable
 }
 
@@ -29,14 +30,14 @@
 
 // requestTable holds the pending requests.
 //
-// It holds every request that the policy knows: a request that is done stays in the table until the policy has handled
-// all events (see removeDone). Whatever the policy still decides about the request by then finds it here, closed, and is
+// It holds every request that the policy knows: once the policy has got the arrival of a request, the request stays in
+// the table until the policy has handled all events that followed (see removeDone). Whatever the policy still decides about the request by then finds it here, closed, and is
 // reported back as ended. If the request were removed at once, a SendAttempt that the policy decides on before it handles
 // the request's end would find nothing, and the policy would wait for the end of that attempt for ever.
 type requestTable struct {
 	byID        map[policy.RequestID]*pendingRequest
 	externalIDs map[string]struct{} // the Request.ID of each pending request that is not done
-	done        []policy.RequestID  // requests that became done since the last removeDone
+	done        []policy.RequestID  // requests that the policy knows and that became done since the last removeDone
 	lastID      policy.RequestID
 	open        int // number of requests that are not closed
 	bodyBytes   int // total size of the open requests' bodies
@@ -96,16 +97,20 @@
 	p.Responder = nil
 }
 
-// markIfDone marks a request as done if it is closed and has no open attempts, so that removeDone removes it. Its
-// Request.ID may be used again at once, because no further attempt is sent to a worker. markIfDone may be called again
-// for a request that is done.
+// markIfDone marks a request as done if it is closed and has no open attempts. removeDone then removes it, or markIfDone
+// does so at once if the policy does not know it. Its Request.ID may be used again at once, because no further attempt is
+// sent to a worker. markIfDone may be called again for a request that is done.
 func (t *requestTable) markIfDone(id policy.RequestID, p *pendingRequest) {
 	if p.done || !p.closed || p.openAttempts > 0 {
 		return
 	}
 	p.done = true
-	t.done = append(t.done, id)
 	delete(t.externalIDs, p.ID)
+	if p.known {
+		t.done = append(t.done, id)
+	} else {
+		delete(t.byID, id)
+	}
 }
 
 // removeDone removes the requests that are done. It must be called only when the policy has handled all events and all
--- a/internal/router/withdrawn_test.go
+++ b/internal/router/withdrawn_test.go
@@ -70,3 +70,32 @@
 		t.Errorf("state %+v, want %d requests", got, limit)
 	}
 }
+
+// Guards against memory that a single turn of the event loop takes: the events of requests that are withdrawn at once wait
+// for the policy, and clients can send any number of such requests while a turn reads their input.
+func TestArrivalsWithinATurnAreLimited(t *testing.T) {
+	r, _ := newTestRouter(t, 1)
+	addReadyWorkers(r, 1)
+	r.Process(testStart)
+	most := maxUndeliveredFactor * r.limits.MaxOpenRequests
+	for turn := range 3 {
+		for n := range 10 * most {
+			responder := &recordingResponder{}
+			id := r.Submit(testStart, Request{
+				Responder: responder, ID: fmt.Sprint(n), Function: 7, Deadline: testStart + time.Second,
+			})
+			if accepted := id != 0; accepted != (n < most) || accepted == (len(responder.responses) == 1) {
+				t.Fatalf("turn %d, request %d: accepted %v, answers %v; want %d requests accepted and the others refused",
+					turn, n, accepted, responder.responses, most)
+			}
+			r.Cancel(testStart, id, ClientInterrupted)
+			if got := r.State().PendingRequests; got != 0 {
+				t.Fatalf("%d requests in the table, want none", got)
+			}
+		}
+		if got := len(r.events.pending); got > most {
+			t.Errorf("%d events are queued, want at most %d", got, most)
+		}
+		r.Process(testStart)
+	}
+}
