Write the answers of a turn when a connection has 128 buffers of them

Change: Write hands the buffers to the kernel when there are 128. What the kernel does not take is counted as unread, as before.

Evidence: TestAnswersOfATurnDoNotWaitInOneBufferEach.

--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -7,13 +7,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxWriteVectors is how many buffers one gathered write takes at most. The kernel takes up to 1,024 (IOV_MAX).
-const maxWriteVectors = 512
+const (
+	// maxWriteVectors is how many buffers one gathered write takes at most. The kernel takes up to 1,024 (IOV_MAX).
+	maxWriteVectors = 512
 
-// Write queues buffers until the end of the turn; the caller must not change them before that. The buffers are dropped
-// if the connection is closed or not connected yet, if an earlier write has failed, and after CloseAfterFlush. Write
-// must not be called before OnOpen (see Loop.Dial). A peer that leaves too many bytes unread is disconnected: the
-// handler's OnClose gets the error in a later turn.
+	// maxPendingBuffers is how many buffers a connection queues within a turn before it writes them. A buffer may take
+	// far more memory than its bytes, and a client that sends many short requests gets as many answers in one turn.
+	maxPendingBuffers = 128
+)
+
+// Write queues buffers until the end of the turn, or until there are maxPendingBuffers; the caller must not change them
+// before that. The buffers are dropped if the connection is closed or not connected yet, if an earlier write has failed,
+// and after CloseAfterFlush. Write must not be called before OnOpen (see Loop.Dial). A peer that leaves too many bytes
+// unread is disconnected: the handler's OnClose gets the error in a later turn.
 func (c *Conn) Write(bufs ...[]byte) {
 	if !c.state.acceptsWrites() || c.writeError != nil {
 		return
@@ -23,6 +29,10 @@
 	}
 	c.activity.recordAnswer(c.loop.now)
 	c.pending = append(c.pending, bufs...)
+	if len(c.pending) >= maxPendingBuffers && c.state.isConnected() {
+		c.writePending()
+		c.dropPending()
+	}
 }
 
 // flush writes what the turn has queued on all connections.
--- a/internal/eventloop/write_test.go
+++ b/internal/eventloop/write_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"testing"
 
@@ -48,3 +49,25 @@
 		t.Errorf("the connection was closed with %v before all its bytes were counted", <-h.closed)
 	}
 }
+
+// Guards against memory that a single turn takes: a client that sends many short requests gets as many answers while the
+// turn reads them, and each waits in a buffer of its own for the end of the turn. Their order must stay.
+func TestAnswersOfATurnDoNotWaitInOneBufferEach(t *testing.T) {
+	m := newManualLoop(t)
+	m.accept(&echoHandler{completeMessages: 1, closed: make(chan error, 1)})
+	const answers = 2000
+	var want []byte
+	for n := range answers {
+		answer := fmt.Appendf(nil, "answer %d;", n)
+		want = append(want, answer...)
+		m.conn.Write(answer)
+		if len(m.conn.pending) >= maxPendingBuffers {
+			t.Fatalf("%d buffers are pending, want fewer than %d", len(m.conn.pending), maxPendingBuffers)
+		}
+	}
+	m.runTurn()
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(m.peer, got); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("the client read other bytes than were written, error %v", err)
+	}
+}
