Take back the arrival of a request that is withdrawn before the policy has got it

Change: eventQueue.remove takes the arrival back, and the timer for the deadline is set when the policy gets the arrival. Requests that end before leave a slot of 16 bytes in the queue at most, so no limit within a turn is needed; it is gone.

Evidence: TestRequestsWithdrawnWithinATurnLeaveNoEvents takes the place of TestArrivalsWithinATurnAreLimited, whose limit does not exist any more: of 10,000 withdrawn requests nothing is left before Process.

--- a/internal/router/deadline.go
+++ b/internal/router/deadline.go
@@ -49,8 +49,8 @@
 //
 //   - The policy has a fault or the machine stalled.
 //   - BeginShutdown moved the deadline after the request was submitted. The policy does not learn of this.
-//   - The deadline was not later than the arrival, for example because the client waits for 0 ms. Process fires timers
-//     before it gives the policy the new request.
+//   - The deadline was not later than the arrival, for example because the client waits for 0 ms. The policy does not get
+//     the request.
 func (r *Router) enforceDeadline(id policy.RequestID) {
 	p := r.requests.byID[id]
 	if p == nil {
@@ -66,7 +66,5 @@
 	r.Counters.Overdue++
 	r.noResultLog.record(r.now, p, status.outcome(), deadlineGuardCause)
 	r.respondUnserved(id, p, Response{Status: status, RetryAfter: r.limits.RetryAfter})
-	if p.known {
-		r.events.add(policy.ClientCancelled{Request: id})
-	}
+	r.tellPolicyOfEnd(id, p)
 }
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -27,9 +27,8 @@
 	}
 	req.ReceivedAt = r.now
 	req.Deadline = r.limitDeadline(&req)
-	id := r.requests.add(req)
-	r.undelivered++
-	r.events.add(policy.RequestArrived{
+	id, p := r.requests.add(req)
+	p.arrival = r.events.add(policy.RequestArrived{
 		Request:     id,
 		Class:       req.Class,
 		Tenant:      req.Tenant,
@@ -39,17 +38,14 @@
 		LoadTime:    req.LoadTime,
 		TimeLeft:    max(req.Deadline-r.now, 0),
 	})
-	r.timers.schedule(req.Deadline, timer{kind: requestDeadline, attempt: AttemptID{Request: id}})
 	return id
 }
 
 // withinLimits reports whether the limits allow req, with its body, as one more open request. Requests that their clients
 // have withdrawn count until their attempts have ended: where attempts can't be cancelled, a client could otherwise leave
-// any number of them behind. The arrivals that the policy has not got yet are limited too, open or not, because clients
-// that withdraw at once could queue any number of them within a turn of the event loop.
+// any number of them behind.
 func (r *Router) withinLimits(req *Request) bool {
 	return r.requests.notDone() < r.limits.MaxOpenRequests &&
-		r.undelivered < maxUndeliveredFactor*r.limits.MaxOpenRequests &&
 		r.requests.bodyBytes+len(req.Body) <= r.limits.MaxBodyBytes
 }
 
@@ -83,8 +79,16 @@
 		r.noResultLog.record(r.now, p, RequestCancelled, cause.String())
 	}
 	r.close(id, p, RequestCancelled)
+	r.tellPolicyOfEnd(id, p)
+}
+
+// tellPolicyOfEnd queues the end of a request that the policy has not ended itself. If the policy has not got the arrival
+// of the request, it takes back the arrival instead.
+func (r *Router) tellPolicyOfEnd(id policy.RequestID, p *pendingRequest) {
 	if p.known {
 		r.events.add(policy.ClientCancelled{Request: id})
+	} else {
+		r.events.remove(p.arrival)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,15 +24,9 @@
 // maxProcessInterval is the maximum time between two calls of Process when no timer is set.
 const maxProcessInterval = time.Hour
 
-// maxUndeliveredFactor is the factor by which the limit on requests that arrive between two calls of Process exceeds
-// Limits.MaxOpenRequests. Most of them must have ended by then if it is reached.
-const maxUndeliveredFactor = 2
-
 // Limits bounds the requests that a Router holds and the time for which it waits for workers.
 type Limits struct {
-	// MaxOpenRequests limits the requests that are open or have attempts that have not ended. maxUndeliveredFactor times
-	// as many may arrive between two calls of Process.
-	MaxOpenRequests int
+	MaxOpenRequests int // number of requests that are open or have attempts that have not ended
 	MaxBodyBytes    int // total size of the bodies of all open requests
 	// MaxWaits holds, by class, the longest time that a client waits, as the settings give it. The deadline of a request
 	// is not later, whatever its client asks for. nil: no limit.
@@ -78,7 +72,6 @@
 	// latestDeadline is an upper bound for the deadlines of all requests; 0 means no bound. See BeginShutdown.
 	latestDeadline   time.Duration
 	admissionStopped bool // see StopAdmitting
-	undelivered      int  // number of queued RequestArrived events
 
 	onRequestEnd func(now time.Duration, req *Request, outcome RequestOutcome)
 
@@ -135,18 +128,14 @@
 	return now + maxProcessInterval
 }
 
-// deliver gives an event to the policy as the request table is now, not as it was when the event was queued: the arrival
-// of a request that has ended since then is not delivered, and the end of an attempt tells whether its request has. The
-// policy thus spends nothing on a request that its client has withdrawn in the turn in which it arrived.
+// deliver gives an event to the policy as the request table is now, not as it was when the event was queued: the end of an
+// attempt tells whether its request has ended in the meantime.
 func (r *Router) deliver(event policy.Event) {
 	switch e := event.(type) {
 	case policy.RequestArrived:
-		r.undelivered--
-		p := r.requests.findOpen(e.Request)
-		if p == nil {
+		if !r.beginRequest(e.Request) {
 			return
 		}
-		p.known = true
 	case policy.AttemptEnded:
 		e.RequestClosed = r.requests.findOpen(e.Request) == nil
 		event = e
@@ -154,6 +143,22 @@
 	r.actions = r.policy.Handle(r.now, event, r.actions)
 }
 
+// beginRequest prepares a request for its arrival at the policy, and sets the timer for its deadline. It returns false if
+// the request has ended or, after it has ended the request, if the deadline has been reached.
+func (r *Router) beginRequest(id policy.RequestID) bool {
+	p := r.requests.findOpen(id)
+	if p == nil {
+		return false
+	}
+	if r.now >= p.Deadline {
+		r.enforceDeadline(id)
+		return false
+	}
+	p.known = true
+	r.timers.schedule(p.Deadline, timer{kind: requestDeadline, attempt: AttemptID{Request: id}})
+	return true
+}
+
 // execute carries out an action of the policy.
 //
 // policy.Subscribe, policy.FetchEndpoints, policy.SendGossip and policy.LogLine have no effect: in this deployment
@@ -185,12 +190,38 @@
 
 // eventQueue holds the events that the policy has not yet handled. It alternates between two slices, so that it does
 // not allocate under steady traffic.
+//
+// The arrival of a request that ends before the policy has got it is removed again, so that clients that withdraw at once
+// do not fill the queue.
 type eventQueue struct {
 	pending  []policy.Event
 	recycled []policy.Event
+	batch    int // number of calls of drain
+}
+
+// eventPosition identifies an event in an eventQueue.
+type eventPosition struct {
+	batch int // the call of drain that handles the event
+	index int
 }
 
-func (q *eventQueue) add(event policy.Event) { q.pending = append(q.pending, event) }
+// add queues an event and returns its position, for remove.
+func (q *eventQueue) add(event policy.Event) eventPosition {
+	q.pending = append(q.pending, event)
+	return eventPosition{batch: q.batch, index: len(q.pending) - 1}
+}
+
+// remove removes an event, unless drain has already begun with the events among which it was queued. The positions of the
+// other events do not change.
+func (q *eventQueue) remove(position eventPosition) {
+	if position.batch != q.batch {
+		return
+	}
+	q.pending[position.index] = nil
+	for last := len(q.pending) - 1; last >= 0 && q.pending[last] == nil; last-- {
+		q.pending = q.pending[:last]
+	}
+}
 
 func (q *eventQueue) empty() bool { return len(q.pending) == 0 }
 
@@ -199,8 +230,11 @@
 func (q *eventQueue) drain(handle func(policy.Event)) {
 	batch := q.pending
 	q.pending = q.recycled[:0]
+	q.batch++
 	for i, event := range batch {
-		handle(event)
+		if event != nil { // it was not removed
+			handle(event)
+		}
 		batch[i] = nil // the recycled slice must not keep the event's data in memory
 	}
 	q.recycled = batch
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -11,8 +11,9 @@
 	openAttempts           int       // number of attempts that have not ended
 	endedAttemptMayHaveRun bool      // true if an attempt ended and its outcome does not prove that it never ran
 	closed                 bool      // the request was answered, or cancelled by the client
-	known                  bool      // the policy has got the arrival of the request
-	done                   bool      // the request is closed, and all its attempts have ended; see requestTable
+	arrival                eventPosition
+	known                  bool // the policy has got the arrival of the request
+	done                   bool // the request is closed, and all its attempts have ended; see requestTable
 }
 
 // mayHaveRun reports whether any attempt may have run or may still run: an open attempt, or one that ended without
@@ -48,13 +49,14 @@
 }
 
 // add stores req as open under a new id.
-func (t *requestTable) add(req Request) policy.RequestID {
+func (t *requestTable) add(req Request) (policy.RequestID, *pendingRequest) {
 	id := t.nextID()
-	t.byID[id] = &pendingRequest{Request: req}
+	p := &pendingRequest{Request: req}
+	t.byID[id] = p
 	t.externalIDs[req.ID] = struct{}{}
 	t.open++
 	t.bodyBytes += len(req.Body)
-	return id
+	return id, p
 }
 
 // nextID returns an id that no pending request has. Ids ascend and wrap around after the largest value; 0 is skipped
--- a/internal/router/withdrawn_test.go
+++ b/internal/router/withdrawn_test.go
@@ -71,31 +71,31 @@
 	}
 }
 
-// Guards against memory that a single turn of the event loop takes: the events of requests that are withdrawn at once wait
-// for the policy, and clients can send any number of such requests while a turn reads their input.
-func TestArrivalsWithinATurnAreLimited(t *testing.T) {
-	r, _ := newTestRouter(t, 1)
+// Guards against memory that a single turn of the event loop takes: clients can send and withdraw any number of requests
+// while a turn reads their input, and the events and timers of these requests waited for the end of the turn.
+func TestRequestsWithdrawnWithinATurnLeaveNoEvents(t *testing.T) {
+	r, workers := newTestRouter(t, 1)
 	addReadyWorkers(r, 1)
 	r.Process(testStart)
-	most := maxUndeliveredFactor * r.limits.MaxOpenRequests
-	for turn := range 3 {
-		for n := range 10 * most {
-			responder := &recordingResponder{}
-			id := r.Submit(testStart, Request{
-				Responder: responder, ID: fmt.Sprint(n), Function: 7, Deadline: testStart + time.Second,
-			})
-			if accepted := id != 0; accepted != (n < most) || accepted == (len(responder.responses) == 1) {
-				t.Fatalf("turn %d, request %d: accepted %v, answers %v; want %d requests accepted and the others refused",
-					turn, n, accepted, responder.responses, most)
-			}
-			r.Cancel(testStart, id, ClientInterrupted)
-			if got := r.State().PendingRequests; got != 0 {
-				t.Fatalf("%d requests in the table, want none", got)
-			}
-		}
-		if got := len(r.events.pending); got > most {
-			t.Errorf("%d events are queued, want at most %d", got, most)
-		}
-		r.Process(testStart)
+	withdraw := func(n int) {
+		id := r.Submit(testStart, Request{
+			Responder: &recordingResponder{}, ID: fmt.Sprint(n), Function: 7, Deadline: testStart + time.Second,
+		})
+		r.Cancel(testStart, id, ClientInterrupted)
+	}
+	timers := r.State().Timers
+	first, _ := submit(r, idempotentClass)
+	for n := range 10_000 {
+		withdraw(n)
+	}
+	r.Cancel(testStart, first, ClientInterrupted)
+	kept, _ := submit(r, idempotentClass)
+	withdraw(0)
+	if got := r.State(); len(r.events.pending) != 1 || got.PendingRequests != 1 || got.Timers != timers {
+		t.Errorf("%d events are queued, want 1; state %+v, want 1 request and %d timers", len(r.events.pending), got, timers)
+	}
+	r.Process(testStart)
+	if len(workers.openAttempts) != 1 || len(workers.sent[kept]) != 1 {
+		t.Errorf("attempts %v were sent, want one, for request %d", workers.sent, kept)
 	}
 }
