Read 16 KiB of a client in a turn, and count what is left as arrived before

Cause: a turn read up to 256 KiB of each connection before anything was sent or answered, so that it lasted for seconds.

Change: a turn reads 16 KiB of each accepted connection, and accepts no more connections when 1 MiB of new ones has been read. Input that is left, in the backlog or on a connection, counts as received no later than the input before it: Conn.inputSince holds that for both.

Evidence: TestInputIsReadInParts.

--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -32,7 +32,9 @@
 //
 // If the limit is reached and no connection can be evicted, admit closes the new connection, unless input has arrived.
 func (l *Loop) admit(ln *listener, fd int, peer netip.AddrPort, inputTime time.Duration) {
-	c := &Conn{loop: l, socket: socket{fd: fd}, remoteAddr: peer, isAccepted: true, state: stateOpen}
+	c := &Conn{
+		loop: l, socket: socket{fd: fd}, remoteAddr: peer, isAccepted: true, state: stateOpen, inputSince: inputTime,
+	}
 	if !l.ensureAcceptCapacity() && !c.hasInput() {
 		l.refusals.Add()
 		l.closeCounts[OverLimit]++
@@ -44,7 +46,7 @@
 	c.activity.lastActivity = l.now
 	c.acceptedHandler = ln.accept(c)
 	c.handler = c.acceptedHandler
-	c.readFirstInput(inputTime)
+	c.readFirstInput()
 	if c.state.isClosed() {
 		return
 	}
@@ -55,13 +57,10 @@
 	}
 }
 
-// readFirstInput reads the input of a connection that has just been accepted, which may have arrived since inputTime. If
-// the client has already closed its direction, it writes the answers and closes the connection at once.
-func (c *Conn) readFirstInput(inputTime time.Duration) {
-	turnInputTime := c.loop.inputTime
-	c.loop.inputTime = min(inputTime, turnInputTime)
-	c.readUpTo(maxReadsAtEnd, true)
-	c.loop.inputTime = turnInputTime
+// readFirstInput reads the input of a connection that has just been accepted. If the client has already closed its
+// direction, it writes the answers and closes the connection at once.
+func (c *Conn) readFirstInput() {
+	c.readToEnd()
 	if !c.state.isClosed() && !c.state.wantsInput() {
 		c.flush()
 	}
--- a/internal/eventloop/backlog_test.go
+++ b/internal/eventloop/backlog_test.go
@@ -180,3 +180,30 @@
 		t.Errorf("the age is %v, want about %v, at most %v", age, wait, longest)
 	}
 }
+
+// Guards against turns that last for seconds because clients send at full speed, and against deadlines that are later
+// than the client's: input that is left for a later turn has arrived as early as that before it.
+func TestInputIsReadInParts(t *testing.T) {
+	m, handlers := newBacklogLoop(t, 10, false)
+	client := dialLoop(t, m.Loop)
+	m.runTurn() // accepts the connection
+	handler := handlers()[0]
+	runTurnAt := func(now time.Duration) {
+		m.now, m.inputTime = now, now
+		m.runTurn()
+	}
+	write(t, client, make([]byte, 2*clientReadSize+1))
+	start := m.now
+	for turn, wantReceived := range []int{clientReadSize, 2 * clientReadSize, 2*clientReadSize + 1} {
+		runTurnAt(start + time.Duration(turn+1)*time.Second)
+		if handler.received != wantReceived || handler.inputTime != start+time.Second {
+			t.Errorf("turn %d: %d bytes received, want %d; input time %v, want %v",
+				turn, handler.received, wantReceived, handler.inputTime, start+time.Second)
+		}
+	}
+	write(t, client, []byte("r"))
+	runTurnAt(start + time.Minute)
+	if handler.inputTime != start+time.Minute || m.InputTime() != start+time.Minute {
+		t.Errorf("input time %v for input of a later turn, %v afterwards, want %v", handler.inputTime, m.InputTime(), start+time.Minute)
+	}
+}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -27,6 +27,10 @@
 	// peer sent before the failure is still read in the next turn, before the connection closes.
 	writeError error
 
+	// inputSince is the earliest time at which the unread input of an accepted connection may have arrived; 0 means that
+	// none is left from an earlier turn.
+	inputSince time.Duration
+
 	pending          [][]byte      // buffers queued by Write in this turn
 	unsent           []byte        // bytes of earlier turns that the kernel has not taken yet
 	lastSendProgress time.Duration // when the kernel last took some of unsent, or unsent got its first bytes
@@ -83,9 +87,9 @@
 		// Read the connection to the end of its input in this turn, within the limit of maxReadsAtEnd reads. Otherwise
 		// the data that the peer sent before the end could be handled in an earlier turn than the end, and the router
 		// could forward a request to a worker although its client has disconnected.
-		c.readUpTo(maxReadsAtEnd, true)
+		c.readToEnd()
 	case events&unix.EPOLLIN != 0:
-		c.readUpTo(maxReadsPerTurn, false)
+		c.readSome()
 	}
 }
 
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -19,6 +19,9 @@
 	// connections does not keep the loop from serving the open ones.
 	maxAcceptsPerTurn = 64
 
+	// maxAdmittedInput is how many bytes of new connections are read in one turn, after which no more are accepted.
+	maxAdmittedInput = 1 << 20
+
 	// After a failed accept, the listener tries again at once. If further attempts fail, it pauses after each of them,
 	// first for minAcceptPause and then twice as long each time, up to maxAcceptPause.
 	minAcceptPause = time.Millisecond
@@ -131,13 +134,17 @@
 
 func (ln *listener) isClientConnection() bool { return false }
 
-// onEvents accepts the waiting connections, up to maxAcceptsPerTurn. The poller is level-triggered: if connections are
+// onEvents accepts the waiting connections, up to maxAcceptsPerTurn and maxAdmittedInput. The poller is level-triggered: if connections are
 // left, the next wait returns at once.
 func (ln *listener) onEvents(uint32) {
 	wasBacklogged := ln.backlogged
 	ln.reported = true
 	ln.backlogged = true
+	inputBefore := ln.loop.clientInput
 	for range maxAcceptsPerTurn {
+		if ln.loop.clientInput-inputBefore > maxAdmittedInput {
+			return
+		}
 		if !ln.loop.mayAccept() {
 			ln.pauseForCapacity()
 			return
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -44,6 +44,7 @@
 
 	now             time.Duration // time of the present turn
 	inputTime       time.Duration // see InputTime
+	clientInput     int           // bytes read from accepted connections since the start
 	stopped         bool
 	deferred        []func()         // calls for the next turn
 	runningDeferred []func()         // deferred calls of this turn; the arrays of both slices are reused
@@ -156,9 +157,9 @@
 	}
 }
 
-// InputTime returns the earliest time at which the input that is read in this turn may have arrived. This is the time
-// of the present turn, unless the machine paused the process before it. The peers' deadlines continue to run during a
-// pause.
+// InputTime returns the earliest time at which the input that a handler gets may have arrived. This is the time of the
+// present turn, unless the machine paused the process before it, or the input has waited in the backlog with its
+// connection or behind input that was read in an earlier turn. The peers' deadlines continue to run meanwhile.
 func (l *Loop) InputTime() time.Duration { return l.inputTime }
 
 // timeUntil returns how long the poller may wait for a turn that is due at next. It returns 0 if calls are deferred to
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -11,30 +11,67 @@
 	// readBufferSize is the size of the buffer that all sockets share, in bytes. No datagram is larger.
 	readBufferSize = 64 << 10
 
-	// maxReadsPerTurn is how often one connection is read in one turn at most, so that a connection that always has
-	// input does not keep the loop from serving the others.
+	// maxReadsPerTurn is how often one dialed connection is read in one turn at most, so that a connection that always
+	// has input does not keep the loop from serving the others.
 	maxReadsPerTurn = 4
 
+	// clientReadSize is how many bytes of an accepted connection are read in one turn at most, unless its peer has ended
+	// it. Clients that send at full speed on all connections together thus make a turn, and the wait of all others, some
+	// 100 ms long at most. A longer message takes several turns.
+	clientReadSize = 16 << 10
+
 	// maxReadsAtEnd is how often a connection is read in one turn at most if its peer has ended it or a write to it has
 	// failed.
 	maxReadsAtEnd = 64
 )
 
-// readUpTo reads the data that has arrived, in at most maxReads reads. Unless toEnd is set, it stops after a read that
-// does not fill the buffer. The poller is level-triggered and reports the remaining data in the next turn.
-func (c *Conn) readUpTo(maxReads int, toEnd bool) {
-	for range maxReads {
-		more, full := c.readOnce()
-		if !more || !full && !toEnd {
+// readSome reads a part of the data that has arrived. The poller is level-triggered and reports the rest in the next
+// turn.
+func (c *Conn) readSome() {
+	if c.isAccepted {
+		c.readClient(func() (complete bool) {
+			_, full := c.readOnce(c.loop.readBuffer[:clientReadSize])
+			return !full
+		})
+		return
+	}
+	for range maxReadsPerTurn {
+		if more, full := c.readOnce(c.loop.readBuffer); !more || !full {
 			return
 		}
 	}
 }
 
-// readOnce reads once into the shared buffer and handles the data. It reports whether there may be more to read, and
-// whether the buffer was filled. It reports both for an interrupted read, so that the read is repeated.
-func (c *Conn) readOnce() (more, full bool) {
-	buffer := c.loop.readBuffer
+// readToEnd reads the data that has arrived and the end of the input, in at most maxReadsAtEnd reads.
+func (c *Conn) readToEnd() {
+	c.readClient(func() (complete bool) {
+		for range maxReadsAtEnd {
+			if more, _ := c.readOnce(c.loop.readBuffer); !more {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// readClient calls read, which reads a part of the input and reports whether nothing is left. Meanwhile Loop.InputTime
+// returns the earliest time at which the input of this connection may have arrived: input that is left now may have
+// arrived as early as the input that is read now.
+func (c *Conn) readClient(read func() (complete bool)) {
+	turnInputTime := c.loop.inputTime
+	if c.inputSince > 0 {
+		c.loop.inputTime = min(c.inputSince, turnInputTime)
+	}
+	c.inputSince = c.loop.inputTime
+	if read() {
+		c.inputSince = 0
+	}
+	c.loop.inputTime = turnInputTime
+}
+
+// readOnce reads once into buffer and handles the data. It reports whether there may be more to read, and whether the
+// buffer was filled. It reports both for an interrupted read, so that the read is repeated.
+func (c *Conn) readOnce(buffer []byte) (more, full bool) {
 	n, err := c.loop.calls.read(c.socket.fd, buffer)
 	switch {
 	case errors.Is(err, unix.EINTR):
@@ -48,6 +85,9 @@
 		c.handleEndOfInput()
 		return false, false
 	}
+	if c.isAccepted {
+		c.loop.clientInput += n
+	}
 	c.handleData(buffer[:n])
 	return c.state.wantsInput(), n == len(buffer)
 }
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -172,7 +172,7 @@
 		return
 	}
 	if c.state.wantsInput() {
-		c.readUpTo(maxReadsAtEnd, true)
+		c.readToEnd()
 	}
 	if !c.state.isClosed() {
 		c.tearDown(causeOfError(c.writeError, WriteFailed), c.writeError)
