--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -30,6 +30,7 @@
 			"endpoint update":   m.updateEndpoints,
 			"load command ends": m.endLoadCommand,
 			"health check ends": m.endHealthCheck,
+			"shutdown begins":   m.beginShutdown,
 			"submit":            m.submit,
 			"time passes":       m.advanceClock,
 			// rapid calls the action with the empty name before the first action and after each action.
@@ -47,6 +48,7 @@
 	now          time.Duration
 	submitted    int // number of requests submitted
 	requests     map[policy.RequestID]*requestModel
+	latest       time.Duration  // deadline of all requests since the shutdown began; 0 before
 	reportedEnds map[string]int // number of calls of Config.OnRequestEnd, by Request.ID
 }
 
@@ -85,6 +87,9 @@
 func (m *routerModel) submit(t *rapid.T) {
 	req := &requestModel{class: rapid.IntRange(0, 1).Draw(t, "class"), responder: &recordingResponder{}}
 	req.deadline = m.now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait"))*ms
+	if m.latest > 0 {
+		req.deadline = min(req.deadline, m.latest)
+	}
 	m.submitted++
 	req.externalID = fmt.Sprintf("%016x", m.submitted)
 	id := m.router.Submit(m.now, Request{
@@ -156,6 +161,18 @@
 	}
 }
 
+// beginShutdown limits the deadlines of all requests. It happens once, and seldom, because it ends most of what follows.
+func (m *routerModel) beginShutdown(t *rapid.T) {
+	if m.latest > 0 || rapid.IntRange(0, 9).Draw(t, "begins") > 0 {
+		return
+	}
+	m.latest = m.now + time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms"))*ms
+	m.router.BeginShutdown(m.now, m.latest)
+	for _, req := range m.requests {
+		req.deadline = min(req.deadline, m.latest)
+	}
+}
+
 // endTurn ends the present turn or lets the next action happen in the same turn, except that time passes only between
 // turns.
 func (m *routerModel) endTurn(t *rapid.T) {
