--- a/cmd/functionrouter/fake_worker_test.go
+++ b/cmd/functionrouter/fake_worker_test.go
@@ -207,8 +207,8 @@
 	}
 }
 
-// reply returns a response in RESP. Its third element is "-", which means that there are no fields. The status is HIT for a result,
-// FAULT for an error, and so on.
+// reply returns a response in RESP. Its third element is "-", which means that there are no fields. The status is HIT for
+// a result, FAULT for an error, and so on.
 func (r workerRequest) reply(status, body string) string {
 	return fmt.Sprintf("*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$1\r\n-\r\n$%d\r\n%s\r\n",
 		len(r.id), r.id, len(status), status, len(body), body)
--- a/cmd/functionrouter/limits_test.go
+++ b/cmd/functionrouter/limits_test.go
@@ -23,7 +23,8 @@
 }
 
 // checkMemoryBounds checks that what is held for peers takes at most half of the memory, if an open request takes 2 KiB
-// besides its body, and an entry for a function 256 bytes. It also checks that the limits leave room for a minimum of bodies and requests.
+// besides its body, and an entry for a function 256 bytes. It also checks that the limits leave room for a minimum of
+// bodies and requests.
 func checkMemoryBounds(t *testing.T, c *config) {
 	t.Helper()
 	bodies := c.scaleToMemory(maxBodyBytes)
--- a/cmd/functionrouter/shutdown.go
+++ b/cmd/functionrouter/shutdown.go
@@ -55,10 +55,10 @@
 }
 
 // advanceShutdown stops the loop once the grace period is over, no client connection has been open or has been left in
-// the backlog for the quiet period, no request is open, and either no notice is open or the flush timeout has passed. Until the loop stops,
-// clients may send requests; after the grace period the router refuses them. advanceShutdown does not close any
-// connection, because a request may be in transit and its client may have no other router. It is called in each turn of
-// the loop once the shutdown has begun.
+// the backlog for the quiet period, no request is open, and either no notice is open or the flush timeout has passed.
+// Until the loop stops, clients may send requests; after the grace period the router refuses them. advanceShutdown does
+// not close any connection, because a request may be in transit and its client may have no other router. It is called in
+// each turn of the loop once the shutdown has begun.
 func (s *server) advanceShutdown(now time.Duration) {
 	elapsed := now - s.shutdown.startedAt
 	graceOver := elapsed >= shutdownGracePeriod
--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -100,8 +100,9 @@
 	return number, start + newline + 1, nil
 }
 
-// parseLength parses a decimal number from 0 to limit without leading zeros. It stops at the first digit that makes the number exceed limit,
-// so that the number can't overflow. It fails with errMalformedAnswer if digits is not such a number.
+// parseLength parses a decimal number from 0 to limit without leading zeros. It stops at the first digit that makes the
+// number exceed limit, so that the number can't overflow. It fails with errMalformedAnswer if digits is not such a
+// number.
 func parseLength(digits []byte, limit int) (int, error) {
 	if len(digits) > 1 && digits[0] == '0' {
 		return 0, malformedAnswerf("length %q has a leading zero", digits)
--- a/internal/backend/recent_ids.go
+++ b/internal/backend/recent_ids.go
@@ -46,8 +46,9 @@
 // full reports whether the limit on wire IDs is reached, so that the connection must not accept new attempts.
 func (r *recentIDs) full() bool { return r.len() >= maxRecentIDs }
 
-// rotate starts a new generation and removes the previous one if the current generation is at least lifetime old. Each sweep calls it. The first call on a connection usually rotates, because rotatedAt is 0; wire IDs that were
-// added before it then belong to the previous generation.
+// rotate starts a new generation and removes the previous one if the current generation is at least lifetime old. Each
+// sweep calls it. The first call on a connection usually rotates, because rotatedAt is 0; wire IDs that were added before
+// it then belong to the previous generation.
 func (r *recentIDs) rotate(now, lifetime time.Duration) {
 	if now-r.rotatedAt < lifetime {
 		return
--- a/internal/decimal/decimal_test.go
+++ b/internal/decimal/decimal_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // Guards against numbers from peers in notations that no protocol page allows, and against infinity and NaN, which
-// would spoil every estimate that they are averaged into.
+// would make every estimate useless that they are averaged into.
 func TestParse(t *testing.T) {
 	for text, want := range map[string]float64{"0": 0, "1500": 1500, "0.61": 0.61, "-2.5": -2.5, "1.5e3": 1500, "1e-05": 0.00001} {
 		if got, err := Parse(text); err != nil || got != want {
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -72,7 +72,9 @@
 	if c.state.apply(eventEndOfInput) {
 		c.acceptedHandler.OnEndOfInput()
 	}
-	c.flush()
+	if c.state.isConnected() && c.writeError == nil {
+		c.writePending()
+	}
 	c.closeWithCause(OverLimit)
 }
 
--- a/internal/eventloop/backlog_test.go
+++ b/internal/eventloop/backlog_test.go
@@ -15,7 +15,7 @@
 	conn      *Conn
 	received  int
 	inputTime time.Duration // InputTime when the latest message was received
-	busy      bool          // whether a request is open; the answers are written all the same
+	busy      bool          // whether a request is open, although the answers are written at once
 }
 
 func (h *requestHandler) OnData(b []byte) {
@@ -109,7 +109,7 @@
 	}
 }
 
-// Guards against a limit that no longer holds for connections without requests: at the limit they are closed at once.
+// Guards against connections without requests that exceed the limit: they are closed at once.
 func TestSilentConnectionsOverTheLimitAreClosed(t *testing.T) {
 	m, handlers := newBacklogLoop(t, 1, true)
 	dialWithRequest(t, m)
@@ -207,3 +207,21 @@
 		t.Errorf("input time %v for input of a later turn, %v afterwards, want %v", handler.inputTime, m.InputTime(), start+time.Minute)
 	}
 }
+
+// Guards against requests that are lost with a connection that can't be registered with the poller, for lack of memory or
+// because of the limit on watches: they must be answered before the connection is closed.
+func TestConnectionThatCannotBePolledIsAnswered(t *testing.T) {
+	m, handlers := newBacklogLoop(t, 10, false)
+	client := dialWithRequest(t, m)
+	fd, peer, err := m.calls.accept(m.listeners[0].socket.fd)
+	requireNoError(t, err)
+	epollFD := m.poll.epollFD
+	m.poll.epollFD = noDescriptor // every registration fails
+	m.admit(m.listeners[0], fd, addrPortOf(peer), m.now)
+	m.poll.epollFD = epollFD
+	m.runTurnsUntilIdle()
+	if got := len(handlers()); got != 1 || !readAnswer(t, client) || m.CloseCounts()[OverLimit] != 1 || m.AcceptedConnections() != 0 {
+		t.Errorf("%d connections accepted, want 1 with an answer; %d closed over the limit, want 1; %d open, want 0",
+			got, m.CloseCounts()[OverLimit], m.AcceptedConnections())
+	}
+}
--- a/policy/recent_events.go
+++ b/policy/recent_events.go
@@ -9,8 +9,8 @@
 // of them, which the router reads in few turns, takes little memory. Adding and dropping an event take constant time on
 // average.
 type recentEvents struct {
-	entries []eventsAt // in ascending order of time; the first dropped ones no longer count
-	dropped int        // number of entries at the front that no longer count
+	entries []eventsAt // in ascending order of time
+	dropped int        // number of entries at the front that do not count because they have left the window
 	count   int        // number of events
 }
 
