Do not send a repeat that has waited for its connection beyond the deduplication window

If the worker's connection is still being dialed, the attempt is sent when the dial succeeds, up to the dial's timeout later, when its worker may not recognize the key any more.

Change: SendAttempt says within which time the attempt must be sent, and the router withdraws it if no byte has been sent by then.

Evidence: TestRepeatMustBeSentWithinTheDedupWindow, TestAttemptIsNotSentAfterItsTime. Not reproduced on real connections.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -37,6 +37,9 @@
 	if budget == action.Timeout { // otherwise the timer for the request's deadline ends the attempt
 		r.timers.schedule(r.now+budget, timer{kind: attemptTimeout, attempt: id})
 	}
+	if action.SendWithin > 0 && action.SendWithin < budget {
+		r.timers.schedule(r.now+action.SendWithin, timer{kind: unsentTimeout, attempt: id})
+	}
 	r.Counters.AttemptsSent++
 	r.workers.StartAttempt(action.Worker, id, &p.Request, budget)
 }
@@ -62,13 +65,19 @@
 // cancelUnsentAttempts ends the open attempts of a closed request if no byte of them has been sent to a worker.
 func (r *Router) cancelUnsentAttempts(request policy.RequestID, p *pendingRequest) {
 	for n := range p.attempts {
-		id := AttemptID{Request: request, Number: n}
-		if !p.attempts[n].ended && r.workers.CancelUnsent(id) {
-			r.AttemptEnded(id, AttemptResult{Outcome: policy.NotSent})
+		if !p.attempts[n].ended {
+			r.cancelUnsentAttempt(AttemptID{Request: request, Number: n})
 		}
 	}
 }
 
+// cancelUnsentAttempt ends an attempt if no byte of it has been sent to a worker.
+func (r *Router) cancelUnsentAttempt(id AttemptID) {
+	if r.workers.CancelUnsent(id) {
+		r.AttemptEnded(id, AttemptResult{Outcome: policy.NotSent})
+	}
+}
+
 // AttemptResult describes how an attempt ended. All fields except Outcome come from the worker's answer and are zero if
 // the worker did not answer.
 type AttemptResult struct {
--- a/internal/router/attempt_test.go
+++ b/internal/router/attempt_test.go
@@ -148,3 +148,26 @@
 		t.Errorf("answer %+v, want status %v, MayHaveRun true, DeadlineExceeded false and RetryAfter %v", resp, Refused, 20*ms)
 	}
 }
+
+// Guards against a repeat that runs a request a second time: an attempt that waits for a connection is not sent after the
+// time within which its worker recognizes the repeat. An attempt that was sent goes on.
+func TestAttemptIsNotSentAfterItsTime(t *testing.T) {
+	for _, unsent := range []bool{true, false} {
+		r, workers := newTestRouter(t, 1)
+		id, _ := submit(r, notIdempotentClass)
+		r.execute(policy.SendAttempt{Request: id, Worker: 1, SendWithin: 100 * ms})
+		workers.unsent[AttemptID{Request: id}] = unsent
+		for _, after := range []time.Duration{99 * ms, 100 * ms} {
+			r.SetNow(testStart + after)
+			r.fireDueTimers()
+			want := uint64(0)
+			if unsent && after == 100*ms {
+				want = 1
+			}
+			if got := r.Counters.AttemptOutcomes[policy.NotSent]; got != want || len(workers.openAttempts) != 1-int(want) {
+				t.Errorf("unsent %v, after %v: %d attempts ended with NotSent, want %d; %d open, want %d",
+					unsent, after, got, want, len(workers.openAttempts), 1-want)
+			}
+		}
+	}
+}
--- a/internal/router/enum_string.go
+++ b/internal/router/enum_string.go
@@ -108,13 +108,14 @@
 	var x [1]struct{}
 	_ = x[policyTimer-0]
 	_ = x[attemptTimeout-1]
-	_ = x[controlTimeout-2]
-	_ = x[requestDeadline-3]
+	_ = x[unsentTimeout-2]
+	_ = x[controlTimeout-3]
+	_ = x[requestDeadline-4]
 }
 
-const _timerKind_name = "policy timerattempt timeoutcontrol timeoutrequest deadline"
+const _timerKind_name = "policy timerattempt timeoutunsent timeoutcontrol timeoutrequest deadline"
 
-var _timerKind_index = [...]uint8{0, 12, 27, 42, 58}
+var _timerKind_index = [...]uint8{0, 12, 27, 41, 56, 72}
 
 func (i timerKind) String() string {
 	idx := int(i) - 0
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -16,6 +16,8 @@
 	policyTimer timerKind = iota // policy timer
 	// attemptTimeout: the timeout of an attempt expires.
 	attemptTimeout // attempt timeout
+	// unsentTimeout: the time expires after which an attempt must not be sent.
+	unsentTimeout // unsent timeout
 	// controlTimeout: the timeout of a control call expires.
 	controlTimeout // control timeout
 	// requestDeadline: the deadline of a request is reached.
@@ -30,7 +32,7 @@
 	kind    timerKind
 	token   uint64    // policyTimer: the token of policy.SetTimer
 	control ControlID // controlTimeout: the control call
-	// attempt is the attempt of an attemptTimeout. For a requestDeadline only its Request is set, and for a policyTimer
+	// attempt is the attempt of an attemptTimeout or an unsentTimeout. For a requestDeadline only its Request is set, and for a policyTimer
 	// only the Request of policy.SetTimer, 0 if there is none.
 	attempt AttemptID
 }
@@ -53,6 +55,10 @@
 		r.events.add(policy.TimerFired{Token: t.token})
 	case attemptTimeout:
 		r.cancelAttempt(t.attempt, policy.TimedOut)
+	case unsentTimeout:
+		if _, a := r.findOpenAttempt(t.attempt); a != nil {
+			r.cancelUnsentAttempt(t.attempt)
+		}
 	case controlTimeout:
 		r.timeOutControlCall(t.control)
 	case requestDeadline:
@@ -64,7 +70,7 @@
 // none.
 func (r *Router) isNeeded(t timer) bool {
 	switch t.kind {
-	case attemptTimeout:
+	case attemptTimeout, unsentTimeout:
 		_, a := r.findOpenAttempt(t.attempt)
 		return a != nil
 	case controlTimeout:
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -13,6 +13,9 @@
 	Request RequestID
 	Worker  WorkerID
 	Timeout time.Duration // time limit of the attempt; 0: the time until the client gives up
+	// SendWithin is the time after which the attempt must not be sent, if it has to wait for a connection: a repeat
+	// that arrives after the DedupWindow may run a second time. 0: no limit.
+	SendWithin time.Duration
 }
 
 // CancelAttempt cancels an attempt in flight; its AttemptEnded still follows.
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -33,7 +33,7 @@
 	w := chosen.worker
 	loadTime := p.remainingLoadTime(w, r)
 	i := w.instance(r.function.id)
-	if !p.emit(SendAttempt{Request: r.id(), Worker: w.id()}) {
+	if !p.emit(SendAttempt{Request: r.id(), Worker: w.id(), SendWithin: p.sendWithin(r)}) {
 		return
 	}
 	a := &attempt{
--- a/policy/rules.go
+++ b/policy/rules.go
@@ -84,6 +84,16 @@
 		settings.shareDedupScope(earlierAttempt.worker, w)
 }
 
+// sendWithin returns the time within which an attempt of r that is allowed now must be sent: until repeatAllowed no
+// longer holds. It returns 0 if there is no limit.
+func (p *Policy) sendWithin(r *request) time.Duration {
+	settings := &p.classOf(r).settings
+	if r.mayHaveRun == nil || settings.Idempotency != IdempotentWithKey {
+		return 0
+	}
+	return r.mayHaveRun.sentAt + settings.DedupWindow - p.cfg.Tick - p.now
+}
+
 // repeatIsHarmless reports whether the client may repeat r, whichever worker the repeat reaches: either
 // nothing ran, or a repeat does no harm at any worker. DedupWindow, the time for which workers remember a
 // key, is not considered.
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestDrainingWorkerGetsNoRequest(t *testing.T) {
 	h := newHarness(t, testConfig(), 1)
@@ -65,3 +68,23 @@
 		}
 	}
 }
+
+// Guards against a repeat that its worker does not recognize because it was sent late: the action says within which time a
+// repeat with an idempotency key must be sent. Other attempts have no such limit.
+func TestRepeatMustBeSentWithinTheDedupWindow(t *testing.T) {
+	h := newHarness(t, testConfig(), 3)
+	const age = 300 * ms
+	for class, want := range map[int]time.Duration{
+		classIdempotent: 0,
+		classKeyed:      time.Second - testConfig().Tick - age, // of the window of a second
+	} {
+		id, actions := h.arrive(class, 7)
+		first, _ := firstAction[SendAttempt](actions)
+		h.now += age
+		second, sent := firstAction[SendAttempt](h.fail(id, 0, first.Worker, Errored))
+		if !sent || first.SendWithin != 0 || second.SendWithin != want {
+			t.Errorf("class %d: first attempt %+v, want no limit; second (sent: %v) %+v, want the limit %v",
+				class, first, sent, second, want)
+		}
+	}
+}
