--- a/policy/actions.go
+++ b/policy/actions.go
@@ -13,8 +13,8 @@
 	Request RequestID
 	Worker  WorkerID
 	Timeout time.Duration // time limit of the attempt; 0: the time until the client gives up
-	// SendWithin is the time after which the attempt must not be sent, if it has to wait for a connection: a repeat
-	// that arrives after the DedupWindow may run a second time. 0: no limit.
+	// SendWithin is the time after which the attempt must not be sent, if it has to wait for a connection:
+	// a repeat that arrives after the DedupWindow may run a second time. 0: no limit.
 	SendWithin time.Duration
 }
 
@@ -84,8 +84,8 @@
 type SetTimer struct {
 	After time.Duration
 	Token uint64
-	// Request is the request that the timer serves; 0: none. The router may drop the timer once this request has ended
-	// and has no attempt in flight.
+	// Request is the request that the timer serves; 0: none. The router may drop the timer once this
+	// request has ended and has no attempt in flight.
 	Request RequestID
 }
 
--- a/policy/functions.go
+++ b/policy/functions.go
@@ -44,8 +44,8 @@
 	return f
 }
 
-// evictedShareDivisor determines how much an eviction of functions frees: MaxFunctionEntries divided by it. That many new
-// entries share the cost of one eviction.
+// evictedShareDivisor determines how much an eviction of functions frees: MaxFunctionEntries divided by
+// it. That many new entries share the cost of one eviction.
 const evictedShareDivisor = 4
 
 // limitFunctions evicts functions if the limit on entries is reached: first those for which no worker has
@@ -109,10 +109,13 @@
 	})
 }
 
-// dropInstancesOfUnknownFunctions deletes the instances that are not in use and whose functions have been deleted.
+// dropInstancesOfUnknownFunctions deletes the instances that are not in use and whose functions have been
+// deleted.
 func (p *Policy) dropInstancesOfUnknownFunctions() {
 	for _, w := range p.fleet {
-		maps.DeleteFunc(w.instances, func(id FunctionID, i *instance) bool { return p.functions[id] == nil && i.isIdle() })
+		maps.DeleteFunc(w.instances, func(id FunctionID, i *instance) bool {
+			return p.functions[id] == nil && i.isIdle()
+		})
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,8 +49,8 @@
 	requests  map[RequestID]*request
 	waiting   waitQueue // requests that no worker may take now; housekeeping places them again
 	functions map[FunctionID]*function
-	// evictionThreshold is the number of entries at which limitFunctions evicts functions next, if it is above
-	// MaxFunctionEntries.
+	// evictionThreshold is the number of entries at which limitFunctions evicts functions next, if it is
+	// above MaxFunctionEntries.
 	evictionThreshold int
 
 	classes []class       // by RequestArrived.Class
@@ -143,8 +143,8 @@
 	}
 }
 
-// sweep decays the served work and deletes the unused workers, instances and functions, and the old sends to workers in
-// slow start.
+// sweep decays the served work and deletes the unused workers, instances and functions, and the old sends
+// to workers in slow start.
 func (p *Policy) sweep() {
 	p.lastSweep = p.now
 	p.estimates.decayServedWork()
--- a/policy/recent_events.go
+++ b/policy/recent_events.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// recentEvents counts the events within a time window. Events at the same clock reading share an entry, so that a flood
-// of them, which the router reads in few turns, takes little memory. Adding and dropping an event take constant time on
-// average.
+// recentEvents counts the events within a time window. Events at the same clock reading share an entry, so
+// that a flood of them, which the router reads in few turns, takes little memory. Adding and dropping an
+// event take constant time on average.
 type recentEvents struct {
 	entries []eventsAt // in ascending order of time
 	dropped int        // number of entries at the front that do not count because they have left the window
--- a/policy/rules.go
+++ b/policy/rules.go
@@ -84,8 +84,8 @@
 		settings.shareDedupScope(earlierAttempt.worker, w)
 }
 
-// sendWithin returns the time within which an attempt of r that is allowed now must be sent: until repeatAllowed no
-// longer holds. It returns 0 if there is no limit.
+// sendWithin returns the time within which an attempt of r that is allowed now must be sent: until
+// repeatAllowed no longer holds. It returns 0 if there is no limit.
 func (p *Policy) sendWithin(r *request) time.Duration {
 	settings := &p.classOf(r).settings
 	if r.mayHaveRun == nil || settings.Idempotency != IdempotentWithKey {
--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -18,7 +18,8 @@
 	recentSends  []*attempt    // this router's attempts within OverloadWindow; recentWork drops older ones
 }
 
-// dropSendsBefore removes the attempts that were sent before earliest. Each attempt keeps its request in memory.
+// dropSendsBefore removes the attempts that were sent before earliest. Each attempt keeps its request in
+// memory.
 func (s *slowStart) dropSendsBefore(earliest time.Duration) {
 	s.recentSends = slices.DeleteFunc(s.recentSends, func(a *attempt) bool { return a.sentAt < earliest })
 }
--- a/policy/wait_queue.go
+++ b/policy/wait_queue.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// waitQueue holds requests that wait, in the order in which they began to wait. A request that ends while it waits stays
-// in the queue for some time, but such requests are at most half of the queue: clients that withdraw requests do not make
-// it grow.
+// waitQueue holds requests that wait, in the order in which they began to wait. A request that ends while
+// it waits stays in the queue for some time, but such requests are at most half of the queue: clients that
+// withdraw requests do not make it grow.
 type waitQueue struct {
 	requests []*request
 	finished int // number of requests that have ended while they waited
