--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -134,8 +134,8 @@
 
 func (ln *listener) isClientConnection() bool { return false }
 
-// onEvents accepts the waiting connections, up to maxAcceptsPerTurn and maxAdmittedInput. The poller is level-triggered: if connections are
-// left, the next wait returns at once.
+// onEvents accepts the waiting connections, up to maxAcceptsPerTurn and maxAdmittedInput. The poller is level-triggered:
+// if connections are left, the next wait returns at once.
 func (ln *listener) onEvents(uint32) {
 	wasBacklogged := ln.backlogged
 	ln.reported = true
