Send a request again to the worker of a connection with a corrupted answer

Change: the result of such an attempt says AnswerCorrupted. The policy counts the worker as one that has answered, and sends a request that may be repeated to the same worker again if it may take it.

Evidence: TestRequestIsRepeatedAtTheWorkerOfACorruptedAnswer fails without the preference (another worker is sent the request).

--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -122,7 +122,10 @@
 	switch call.kind {
 	case attemptCall:
 		delete(p.attempts, call.attemptID)
-		p.results.AttemptEnded(call.attemptID, router.AttemptResult{Outcome: outcome})
+		p.results.AttemptEnded(call.attemptID, router.AttemptResult{
+			Outcome:         outcome,
+			AnswerCorrupted: outcome == policy.ConnectionReset && call.connection.answerCorrupted,
+		})
 	case loadCommandCall:
 		p.results.LoadCommandEnded(call.controlID, outcome, 0)
 	case healthCheckCall:
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -26,6 +26,8 @@
 	dialedAt   time.Duration
 	lastUsedAt time.Duration // when a call was last written or answered; initially dialedAt
 
+	answerCorrupted bool // the connection was closed because an answer was malformed
+
 	partial   partialAnswer
 	keepAlive keepAlive
 }
--- a/internal/backend/corrupted_answer_test.go
+++ b/internal/backend/corrupted_answer_test.go
@@ -24,6 +24,9 @@
 				t.Error("the connection stayed open, want it closed")
 			}
 			transport.handler.OnClose(nil)
+			if !p.recorder.corrupted[a] {
+				t.Error("the result does not say that an answer was corrupted")
+			}
 			if ended := p.recorder.attempts[a]; !slices.Equal(ended, []policy.Outcome{policy.ConnectionReset}) {
 				t.Errorf("the attempt ended with %v and body %q, want [%v]", ended, p.recorder.bodies[a], policy.ConnectionReset)
 			}
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -34,12 +34,15 @@
 type resultRecorder struct {
 	attempts map[router.AttemptID][]policy.Outcome
 	bodies   map[router.AttemptID]string
-	controls map[router.ControlID][]policy.Outcome // outcomes of load commands and health checks
+	// corrupted holds the attempts whose results say that an answer was corrupted.
+	corrupted map[router.AttemptID]bool
+	controls  map[router.ControlID][]policy.Outcome // outcomes of load commands and health checks
 }
 
 func (r *resultRecorder) AttemptEnded(a router.AttemptID, result router.AttemptResult) {
 	r.attempts[a] = append(r.attempts[a], result.Outcome)
 	r.bodies[a] = string(result.Body)
+	r.corrupted[a] = result.AnswerCorrupted
 }
 
 func (r *resultRecorder) LoadCommandEnded(control router.ControlID, o policy.Outcome, _ int) {
@@ -61,7 +64,9 @@
 	p := &testPool{recorder: &resultRecorder{
 		attempts: map[router.AttemptID][]policy.Outcome{},
 		bodies:   map[router.AttemptID]string{},
-		controls: map[router.ControlID][]policy.Outcome{},
+
+		corrupted: map[router.AttemptID]bool{},
+		controls:  map[router.ControlID][]policy.Outcome{},
 	}}
 	p.Pool = New(Config{
 		Classes:                 []string{"dim-level"},
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -65,6 +65,7 @@
 	rest, err := c.handleAnswers(joined)
 	if err != nil {
 		c.partial.data = nil
+		c.answerCorrupted = true
 		c.closeWithError(err)
 		return
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -78,13 +78,16 @@
 	}
 }
 
-// AttemptResult describes how an attempt ended. All fields except Outcome come from the worker's answer and are zero if
-// the worker did not answer.
+// AttemptResult describes how an attempt ended. All fields except Outcome and AnswerCorrupted come from the worker's
+// answer and are zero if the worker did not answer.
 type AttemptResult struct {
-	Outcome        policy.Outcome
-	InstanceStatus policy.InstanceStatus
-	Body           []byte    // body of the response; the caller must not change it afterwards
-	LoadReport     []float64 // values in the order of policy.Config.LoadReportFields; nil if missing or incomplete
+	Outcome policy.Outcome
+	// AnswerCorrupted is true if an answer on the attempt's connection, to this or another attempt, was corrupted, so
+	// that the connection was closed. The outcome is then policy.ConnectionReset.
+	AnswerCorrupted bool
+	InstanceStatus  policy.InstanceStatus
+	Body            []byte    // body of the response; the caller must not change it afterwards
+	LoadReport      []float64 // values in the order of policy.Config.LoadReportFields; nil if missing or incomplete
 }
 
 // AttemptEnded tells the Router how an attempt ended, at the time of the last SetNow. If the worker served the attempt
@@ -103,13 +106,14 @@
 		r.respond(id.Request, p, Response{Status: Served, Body: result.Body, MayHaveRun: true})
 	}
 	r.events.add(policy.AttemptEnded{
-		Request:        id.Request,
-		Attempt:        id.Number,
-		Worker:         a.worker,
-		Outcome:        result.Outcome,
-		InstanceStatus: result.InstanceStatus,
-		Duration:       r.now - a.sentAt,
-		LoadReport:     result.LoadReport,
+		Request:         id.Request,
+		Attempt:         id.Number,
+		Worker:          a.worker,
+		Outcome:         result.Outcome,
+		AnswerCorrupted: result.AnswerCorrupted,
+		InstanceStatus:  result.InstanceStatus,
+		Duration:        r.now - a.sentAt,
+		LoadReport:      result.LoadReport,
 	})
 	r.requests.markIfDone(id.Request, p)
 }
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -92,6 +92,9 @@
 	}
 	r := a.request
 	p.recordAttemptEnd(a, e.Outcome)
+	if e.AnswerCorrupted {
+		r.repeatAt = a.worker
+	}
 	e.Duration = min(max(e.Duration, 0), longestPlausibleTime)
 	p.learnFromOutcome(a, e)
 	if e.RequestClosed {
--- a/policy/events.go
+++ b/policy/events.go
@@ -128,8 +128,12 @@
 	// cancelled the request or has disconnected. RequestClosed must be true if the outcome is Served: if it
 	// is false, the policy may send the request again, whatever the outcome.
 	RequestClosed bool
-	Duration      time.Duration
-	LoadReport    []float64 // in the order of Config.LoadReportFields; empty if the answer had no load report
+	// AnswerCorrupted says, with ConnectionReset, that the router closed the connection because an answer on
+	// it was corrupted. The worker works, and may still run the request.
+	AnswerCorrupted bool
+	Duration        time.Duration
+	// LoadReport is in the order of Config.LoadReportFields, and empty if the answer had no load report.
+	LoadReport []float64
 }
 
 func (EndpointUpdate) event()   {}
--- a/policy/learning.go
+++ b/policy/learning.go
@@ -50,7 +50,11 @@
 			p.recordUnserved(a, 1)
 		}
 	case ConnectionReset:
-		p.learnFromReset(a)
+		if e.AnswerCorrupted {
+			p.recordWorkerAnswered(a.worker)
+		} else {
+			p.learnFromReset(a)
+		}
 	case Unreachable:
 		p.eject(a.worker)
 	}
--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -334,3 +334,25 @@
 		t.Errorf("a new request was sent to worker %d, which is silent, want another worker or no attempt", silent)
 	}
 }
+
+// Guards against blaming a worker for an answer that was corrupted on the way: the worker works and has the function
+// loaded, so a request that was on the same connection goes to it again, even if another worker is less busy.
+func TestRequestIsRepeatedAtTheWorkerOfACorruptedAnswer(t *testing.T) {
+	for busy := range 4 {
+		h := newHarness(t, testConfig(), 5)
+		for _, w := range h.policy.workers {
+			w.instance(7).warmUntil = h.now + time.Minute
+		}
+		id, w := h.arriveAndSend(classIdempotent, 7)
+		for range busy {
+			h.arriveAndSend(classIdempotent, 7)
+		}
+		actions := h.handle(AttemptEnded{Request: id, Worker: w, Outcome: ConnectionReset, AnswerCorrupted: true})
+		if got := h.sentTo(actions); got != w || hasAction[CheckHealth](actions) {
+			t.Fatalf("the request was sent to worker %d, want %d again; actions %v, want no health check", got, w, actions)
+		}
+		if share := h.policy.workers[w].health.unserved[classIdempotent].value(h.now); share != 0 {
+			t.Fatalf("the share of unserved attempts at the worker is %v, want 0", share)
+		}
+	}
+}
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -16,7 +16,8 @@
 
 // place sends r to the worker with the lowest score, makes it wait, or ends it unserved:
 //
-//  1. The candidates are the workers that the rules allow, that are not ejected, and that have not failed r.
+//  1. The candidates are the workers that the rules allow, that are not ejected, and that have not failed r;
+//     or only the worker that preferRepeat prefers.
 //  2. The preferred worker is the one that should load r's function if the function must be loaded.
 //  3. While loadBackoff is active, most workers at which r would start a load are removed from the
 //     candidates; see withoutNewLoads.
@@ -26,7 +27,7 @@
 	if r.finished || r.attemptsInFlight > 0 {
 		return
 	}
-	candidates := p.candidates(r)
+	candidates := r.preferRepeat(p.candidates(r))
 	preference := p.preferredWorker(r, candidates)
 	earliest := p.now
 	if p.loadBackoff.isActive(p.now) && len(candidates) > 0 {
@@ -50,6 +51,16 @@
 	})
 }
 
+// preferRepeat returns only the worker to which r should be sent again, if it is one of the candidates: an
+// answer on r's connection was corrupted, so the worker works, has the function loaded or is loading it, and
+// may recognize the repeat. Another worker would do the same work once more.
+func (r *request) preferRepeat(candidates []*worker) []*worker {
+	if r.repeatAt != nil && slices.Contains(candidates, r.repeatAt) {
+		return []*worker{r.repeatAt}
+	}
+	return candidates
+}
+
 // withoutNewLoads removes the candidates at which r would start a load. For a first attempt, the preferred
 // worker remains if the function is probably loaded there.
 func (p *Policy) withoutNewLoads(r *request, candidates []*worker, preference preference) []*worker {
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -34,6 +34,7 @@
 	attemptsInFlight int
 	mayHaveRun       *attempt   // the first attempt that may have run; nil: none
 	triedWorkers     []*worker  // workers that the policy does not try again; see recordAttemptEnd
+	repeatAt         *worker    // the worker to prefer for the next attempt; nil: none. See preferRepeat
 	overQuota        bool       // its tenant's quota was used up when it arrived
 	waitsIn          *waitQueue // the queue that the request waits in; nil: none
 	responseStarted  bool       // part of the response has reached the client
