Copy what the echo handler of the event loop's tests writes back

Cause: the tests' echoHandler passed the bytes of OnData to Write. They are valid only during the call, and Write keeps a buffer until the end of the turn. That went well while a connection with short reads was read once in a turn; a new connection is now read until nothing is left, and the second read overwrites the shared buffer. The program's handlers copy what they keep.

What the test checks is unchanged.

--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"bytes"
 	"net"
 	"testing"
 	"time"
@@ -22,8 +23,9 @@
 }
 
 func (h *echoHandler) OnData(b []byte) {
+	received := bytes.Clone(b) // b is valid only during the call, and Write keeps the buffer until the end of the turn
 	for range h.copies {
-		h.conn.Write(b, nil, []byte("|"))
+		h.conn.Write(received, nil, []byte("|"))
 	}
 }
 func (h *echoHandler) OnClose(err error) { h.closed <- err }
