--- a/review/standin2/limit.go
+++ b/review/standin2/limit.go
@@ -18,7 +18,7 @@
 	limitWaves     = 5
 	limitBody      = 200 // bytes of an order's result
 	limitClients   = 48
-	limitRetention = 10 * time.Second
+	limitRetention = 8 * time.Second
 	limitTolerance = 2 * time.Second
 	limitStarts    = 3
 )
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -86,6 +86,9 @@
 
 // end ends the processes and removes the temporary folder, unless KEEP is set.
 func (s *scene) end() {
+	startLock.Lock()
+	stopping = true
+	startLock.Unlock()
 	for _, r := range s.routers {
 		r.kill()
 	}
@@ -96,9 +99,10 @@
 
 // startRouter starts a router that end ends.
 func (s *scene) startRouter(c routerConfig) (*router, error) {
-	r, err := startRouter(s.record, s.root, s.folder, c)
-	if r != nil && r.command != nil && r.command.Process != nil {
-		s.routers = append(s.routers, r)
+	r, err := newRouter(s.record, s.folder, c)
+	if err != nil {
+		return nil, err
 	}
-	return r, err
+	s.routers = append(s.routers, r)
+	return r, r.start(s.root)
 }
--- a/review/standin2/router.go
+++ b/review/standin2/router.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -112,17 +113,32 @@
 	return l.Addr().String()
 }
 
-// startRouter starts a router with the command of the deploy file and waits until it answers check with good.
-func startRouter(record *recorder, root, folder string, c routerConfig) (*router, error) {
-	r := &router{address: freePort(), folder: folder, config: filepath.Join(folder, c.name+".json"), webhook: c.webhook, record: record}
-	if err := writeConfig(r.config, r.address, c); err != nil {
-		return nil, err
-	}
-	return r, r.start(root)
+// newRouter returns a router on a free port, with its configuration written. It is not started.
+func newRouter(record *recorder, folder string, c routerConfig) (*router, error) {
+	r := &router{address: freePort(), config: filepath.Join(folder, c.name+".json"), webhook: c.webhook, folder: folder, record: record}
+	return r, writeConfig(r.config, r.address, c)
 }
 
-// start starts the process, also again after it has ended.
+// startLock is held while a process is started. Nothing is started once stopping is set.
+var (
+	startLock sync.Mutex
+	stopping  bool
+)
+
+// start starts the process, also again after it has ended, and waits until it is ready.
 func (r *router) start(root string) error {
+	if err := r.launch(root); err != nil {
+		return err
+	}
+	return r.awaitReady()
+}
+
+func (r *router) launch(root string) error {
+	startLock.Lock()
+	defer startLock.Unlock()
+	if stopping {
+		return errors.New("the case is at its end")
+	}
 	command, err := runCommand(root)
 	if err != nil {
 		return err
@@ -142,7 +158,7 @@
 	r.ended = make(chan error, 1)
 	go func(command *exec.Cmd, ended chan error) { ended <- command.Wait() }(r.command, r.ended)
 	r.record.logf("router started pid=%d", r.command.Process.Pid)
-	return r.awaitReady()
+	return nil
 }
 
 func (r *router) awaitReady() error {
@@ -190,6 +206,9 @@
 
 // kill ends the process.
 func (r *router) kill() {
+	if r.command == nil || r.command.Process == nil {
+		return
+	}
 	_ = r.command.Process.Kill()
 	r.wait(5 * time.Second)
 }
