--- a/review/standin2/limit.go
+++ b/review/standin2/limit.go
@@ -83,6 +83,10 @@
 // startUnderLimit starts the router again as the platform does, which kills it over its memory limit. It returns the
 // memory at which it was killed, in kB, or 0 if it became ready.
 func startUnderLimit(s *scene, r *router) (killedAt int) {
+	if err := r.launch(s.root); err != nil {
+		s.record.logf("start: %v", err)
+		return 0
+	}
 	done := make(chan struct{})
 	watched := make(chan struct{})
 	go func() {
@@ -100,10 +104,10 @@
 			}
 		}
 	}()
-	err := r.start(s.root)
+	err := r.awaitReady()
 	close(done)
 	<-watched
-	s.record.logf("start: error %v, memory when killed %d kB, peak %d kB", err, killedAt, memoryKB(r, "VmHWM:"))
+	s.record.logf("start: error %v, memory when killed %d kB", err, killedAt)
 	if killedAt == 0 {
 		r.kill()
 	}
