Begin an attempt only when the input of its client has been read

A client sends 32 calls of 16 KB at once and withdraws them 50 ms later, while 70 others send at full speed.

Cause: a turn of the event loop reads 16 KiB of a client and then sends the attempts of what it has read. While the others make a turn last 15 to 30 ms, the interrupts wait in the socket behind the calls for up to 32 turns. The same holds wherever an attempt is sent on older input: repeats, attempts after a load, calls queued for a dial, and a turn that the machine interrupts between the poll and the write.

Change: attempts wait in the worker pool, and Router.sendAttempts is the only place where one begins. Unread input is read first, that of the clients that send least before the others, up to 640 KiB of one and 1 MiB of all in a turn; what does not suffice waits for the next turn. A poll that was interrupted or that returned as many events as it can shows nothing, and neither does one more than 10 ms ago. A read that fails for lack of memory leaves input unread.

An attempt that has not been written when its connection ends moves to another one or ends as unreachable: it never ran.

Tests: TestNoAttemptBeginsBehindUnreadInput and the model of the request table, in which input waits unread and withdraws at random, fail without the check; TestCatchUp*, TestOldOrIncompletePollShowsNothing, TestFailedReadLeavesInputUnseen, TestFailedConnectionIsUnseen, TestUnreadInputOfSlowestClientIsReadFirst.

--- a/cmd/functionrouter/withdrawn_test.go
+++ b/cmd/functionrouter/withdrawn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"syscall"
 	"testing"
@@ -58,3 +59,46 @@
 	line, _, _ = strings.Cut(line, "\n")
 	return line
 }
+
+// Guards against attempts that begin long after their client has gone: calls and, behind them, their withdrawal arrive
+// while the machine pauses the process. A turn reads a part of the input, so that the calls were sent to a worker in the
+// turns before the withdrawal was read.
+func TestCallsWithdrawnInUnreadInputAreNotSent(t *testing.T) {
+	for name, withdraw := range map[string]func(c *testClient, first uint32){
+		"interrupt": func(c *testClient, first uint32) {
+			for sequence := first; sequence <= c.lastSequence; sequence++ {
+				c.sendInterrupt(sequence)
+			}
+		},
+		"close":      func(c *testClient, _ uint32) { c.close() },
+		"half-close": func(c *testClient, _ uint32) { _ = c.Conn.(*net.TCPConn).CloseWrite() },
+		"reset": func(c *testClient, _ uint32) {
+			_ = c.Conn.(*net.TCPConn).SetLinger(0) // makes close send a reset
+			c.close()
+		},
+	} {
+		for _, size := range []struct{ calls, bytes int }{{3, 16000}, {32, 1500}} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, size.bytes), func(t *testing.T) {
+				worker := startFakeWorker(t)
+				h, process := startPinnedProcess(t, func(text string) string { return text },
+					listedWorker{name: "s-1", addr: worker.addr})
+				usual := h.connect()
+				leaving := h.connect()
+				usual.checkHealth()
+				leaving.checkHealth()
+				pause(t, process)
+				first := leaving.lastSequence + 1
+				for n := range size.calls {
+					leaving.sendCall("safe", fmt.Sprintf("%016x", n), strings.Repeat("x", size.bytes))
+				}
+				withdraw(leaving, first)
+				signalProcess(t, process, syscall.SIGCONT)
+				usual.checkHealth() // the router has read what had arrived
+				usual.sendCall("safe", "00000000000000b1", "usual")
+				if request := worker.nextRequest(); request.body != "usual" {
+					t.Errorf("the worker received the withdrawn call %s", request.id)
+				}
+			})
+		}
+	}
+}
--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -1,17 +1,18 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"functionrouter/internal/router"
 	"functionrouter/policy"
 )
 
-// StartAttempt sends an attempt of a request to a worker. The budget is the time that the attempt may take, the wait
-// for a dial included. No other attempt with the same ID may be open, and the request's class must be an index of
-// Config.Classes. The attempt ends as Unreachable if the worker is unknown or not ready, or if no connection can carry
-// the attempt. The caller may reuse the request after StartAttempt returns, but not its body: the pool keeps the slice
-// without a copy.
+// StartAttempt queues an attempt of a request for a worker. The budget is the time that the attempt may take, the wait
+// for a dial and for SendAttempt included. No other attempt with the same ID may be open, and the request's class must be
+// an index of Config.Classes. The attempt ends as Unreachable if the worker is unknown or not ready, or if no connection
+// can carry the attempt. The caller may reuse the request after StartAttempt returns, but not its body: the pool keeps the
+// slice without a copy.
 func (p *Pool) StartAttempt(workerID policy.WorkerID, attemptID router.AttemptID, request *router.Request,
 	budget time.Duration,
 ) {
@@ -20,6 +21,7 @@
 		call := newAttemptCall(attemptID, request, p.cfg.Classes[request.Class], p.now+budget)
 		if c := p.selectConnection(w, call); c != nil {
 			p.attempts[attemptID] = call
+			p.unsent = append(p.unsent, call)
 			c.send(call)
 			return
 		}
@@ -27,7 +29,36 @@
 	p.results.AttemptEnded(attemptID, router.AttemptResult{Outcome: policy.Unreachable})
 }
 
-// CancelUnsent cancels an attempt that waits for a dial. No result is reported, and the dial continues. If the attempt
+// SendableAttempts appends the attempts that wait for SendAttempt on an open connection to ids, in the order of
+// StartAttempt.
+func (p *Pool) SendableAttempts(ids []router.AttemptID) []router.AttemptID {
+	p.unsent = slices.DeleteFunc(p.unsent, func(call *pendingCall) bool {
+		return call.written || p.attempts[call.attemptID] != call
+	})
+	for _, call := range p.unsent {
+		if call.connection.canWriteAttempts() {
+			ids = append(ids, call.attemptID)
+		}
+	}
+	return ids
+}
+
+// SendAttempt writes an attempt that waits on an open connection. An attempt whose budget is spent ends as NotSent.
+// SendAttempt does nothing if the attempt waits for a dial, has been written or has ended.
+func (p *Pool) SendAttempt(attemptID router.AttemptID) {
+	call := p.attempts[attemptID]
+	if call == nil || !call.connection.canWriteAttempts() || !call.connection.unqueue(call) {
+		return
+	}
+	if call.budgetEnd <= p.now {
+		call.connection.release(call)
+		p.endUnanswered(call, policy.NotSent)
+		return
+	}
+	call.connection.write(call)
+}
+
+// CancelUnsent cancels an attempt that has not been written. No result is reported, and a dial continues. If the attempt
 // has been written or has ended, CancelUnsent does nothing and returns false.
 func (p *Pool) CancelUnsent(attemptID router.AttemptID) bool {
 	call := p.attempts[attemptID]
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"functionrouter/policy"
@@ -18,7 +19,8 @@
 	pending map[string]*pendingCall
 	// pendingAttempts is the number of pending calls that are attempts.
 	pendingAttempts int
-	// queued holds the pending calls that wait for the dial, in the order in which they were sent.
+	// queued holds the pending calls that have not been written, in the order in which they were sent: attempts that wait
+	// for Pool.SendAttempt and, until the dial succeeds, calls of other kinds.
 	queued []*pendingCall
 	// recentIDs holds the wire IDs of written attempts that recently ended or were cancelled.
 	recentIDs recentIDs
@@ -32,21 +34,26 @@
 	keepAlive keepAlive
 }
 
-// send writes call, or queues it until the dial succeeds. The caller must have checked with Pool.preferenceFor that c
-// may carry call.
+// send queues an attempt until Pool.SendAttempt writes it. It writes a call of another kind, or queues it until the dial
+// succeeds. The caller must have checked with Pool.preferenceFor that c may carry call.
 func (c *connection) send(call *pendingCall) {
 	call.connection = c
 	c.pending[call.wireID] = call
 	if call.kind == attemptCall {
 		c.pendingAttempts++
 	}
-	if c.state == stateConnecting {
+	if call.kind == attemptCall || c.state == stateConnecting {
 		c.queued = append(c.queued, call)
 		return
 	}
 	c.write(call)
 }
 
+// canWriteAttempts reports whether the dial of c has succeeded and c is still open.
+func (c *connection) canWriteAttempts() bool {
+	return c.state == stateReady || c.state == stateDraining
+}
+
 // write passes the call's command to the transport, which then owns the bytes. A call is written only once.
 func (c *connection) write(call *pendingCall) {
 	call.written = true
@@ -79,15 +86,21 @@
 
 // dequeue removes call from the queue and releases it, if it is queued.
 func (c *connection) dequeue(call *pendingCall) {
-	for i, q := range c.queued {
-		if q == call {
-			c.queued = append(c.queued[:i], c.queued[i+1:]...)
-			c.release(call)
-			return
-		}
+	if c.unqueue(call) {
+		c.release(call)
 	}
 }
 
+// unqueue removes call from the queue. It reports whether call was queued.
+func (c *connection) unqueue(call *pendingCall) bool {
+	i := slices.Index(c.queued, call)
+	if i < 0 {
+		return false
+	}
+	c.queued = slices.Delete(c.queued, i, i+1)
+	return true
+}
+
 // failQueued ends the queued calls of a worker that is not ready: attempts end as Unreachable and load commands as
 // WorkerOverloaded. Health checks stay queued. If c is still being dialed and no call is left in the queue, failQueued
 // cancels the dial.
@@ -112,7 +125,7 @@
 }
 
 // OnOpen handles the end of the dial. If the dial succeeded, it writes the queued calls in the order in which they were
-// sent, except attempts whose budget is spent: these end as NotSent.
+// sent, except attempts, which go on waiting for Pool.SendAttempt.
 func (c *connection) OnOpen(err error) {
 	if err != nil {
 		slog.Warn("worker dial failed", "address", c.worker.address, "error", err)
@@ -125,11 +138,10 @@
 	queued := c.queued
 	c.queued = nil
 	for _, call := range queued {
-		if call.kind == attemptCall && call.budgetEnd <= c.pool.now {
-			c.release(call)
-			c.pool.endUnanswered(call, policy.NotSent)
-			continue
+		if call.kind == attemptCall {
+			c.queued = append(c.queued, call)
+		} else {
+			c.write(call)
 		}
-		c.write(call)
 	}
 }
--- a/internal/backend/connection_end.go
+++ b/internal/backend/connection_end.go
@@ -52,21 +52,26 @@
 }
 
 // terminate removes c from its worker and then, in the order of their wire IDs, ends the pending calls or sends them
-// again over another connection. c is removed first so that no call is sent over it again. All queued calls are written
-// as soon as the dial succeeds: the calls of a failed dial were never sent, and those of an open connection were all
-// sent.
+// again over another connection. c is removed first so that no call is sent over it again.
 func (c *connection) terminate(end connectionEnd) {
 	c.worker.remove(c)
 	pending := sortedByWireID(c.pending)
 	clear(c.pending)
 	c.queued = nil
 	for _, call := range pending {
-		if !c.resend(call, end) {
-			c.pool.endUnanswered(call, end.outcome)
+		callEnd := end
+		if end.outcome == policy.ConnectionReset && !call.written {
+			callEnd = unsentEnd
+		}
+		if !c.resend(call, callEnd) {
+			c.pool.endUnanswered(call, callEnd.outcome)
 		}
 	}
 }
 
+// unsentEnd is how the end of an open connection affects the attempts that have not been written.
+var unsentEnd = connectionEnd{outcome: policy.Unreachable, resendUnsent: true}
+
 // resend sends call again over another connection if its kind and the end of c allow that. It returns false if the
 // caller must end the call.
 func (c *connection) resend(call *pendingCall, end connectionEnd) bool {
--- a/internal/backend/connection_state.go
+++ b/internal/backend/connection_state.go
@@ -30,9 +30,9 @@
 type connectionState uint8
 
 const (
-	// The dial has not ended. Calls are queued.
+	// The dial has not ended. All calls are queued.
 	stateConnecting connectionState = iota // connecting
-	// Calls are written immediately.
+	// Calls are written immediately, except attempts, which wait for Pool.SendAttempt.
 	stateReady // ready
 	// The connection accepts no new calls and is closed once the pending calls have ended.
 	stateDraining // draining
--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -12,8 +12,11 @@
 // reported. A failure is reported as a policy.Outcome; no method returns an error. The outcomes Unreachable, NotSent,
 // FunctionNotLoaded and WorkerOverloaded prove that an attempt never ran; ConnectionReset means that it may have run.
 //
+// Attempts are written only by SendAttempt, so that the caller can decide at the last moment whether an attempt may begin.
+// Until then they are queued on a connection, and move to another one if it ends.
+//
 // The pool does not time out calls that it has written: the caller cancels a call that takes too long. An attempt whose
-// budget is spent while it waits for a dial ends as NotSent. The timeouts of dials, idle connections, keep-alive checks
+// budget is spent while it waits ends as NotSent. The timeouts of dials, idle connections, keep-alive checks
 // and incomplete answers apply to connections; when a connection ends, its calls end or are sent again.
 //
 // Connection errors are logged and never returned. The end of a connection without pending calls is not logged, because
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -53,11 +53,29 @@
 	r.controls[control] = append(r.controls[control], o)
 }
 
-// testPool is a Pool with one ready worker and fake transports, which are stored in the order of their dials.
+// sendingHandler sends the attempts that waited for a dial when the dial ends, as the router does at the end of the turn.
+type sendingHandler struct {
+	eventloop.DialHandler
+	pool *testPool
+}
+
+func (h *sendingHandler) OnOpen(err error) {
+	h.DialHandler.OnOpen(err)
+	h.pool.sendAttempts()
+}
+
+func (h *sendingHandler) OnClose(err error) {
+	h.DialHandler.OnClose(err)
+	h.pool.sendAttempts()
+}
+
+// testPool is a Pool with one ready worker and fake transports, which are stored in the order of their dials. It sends
+// attempts as soon as they can be sent, unless holdAttempts is set.
 type testPool struct {
 	*Pool
-	recorder   *resultRecorder
-	transports []*fakeTransport
+	recorder     *resultRecorder
+	transports   []*fakeTransport
+	holdAttempts bool
 }
 
 func newTestPool() *testPool {
@@ -78,7 +96,7 @@
 		MaxConnections:          100,
 		AllowCancel:             true,
 		Dial: func(_ string, _ time.Duration, h eventloop.DialHandler) Transport {
-			p.transports = append(p.transports, &fakeTransport{handler: h})
+			p.transports = append(p.transports, &fakeTransport{handler: &sendingHandler{DialHandler: h, pool: p}})
 			return p.lastTransport()
 		},
 	}, p.recorder)
@@ -92,6 +110,17 @@
 // start sends attempt a with this wire ID to the worker, with a budget of one second.
 func (p *testPool) start(a router.AttemptID, id string) {
 	p.StartAttempt(workerID, a, testRequest(id), time.Second)
+	p.sendAttempts()
+}
+
+// sendAttempts sends the attempts that can be sent now.
+func (p *testPool) sendAttempts() {
+	if p.holdAttempts {
+		return
+	}
+	for _, id := range p.SendableAttempts(nil) {
+		p.SendAttempt(id)
+	}
 }
 
 // startOnOpenConnection calls start, lets the first dial succeed and returns its transport.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -64,6 +64,7 @@
 	now             time.Duration // last reading of the event loop's clock, see SetNow
 	workers         map[policy.WorkerID]*worker
 	attempts        map[router.AttemptID]*pendingCall // attempts that have neither ended nor been cancelled
+	unsent          []*pendingCall                    // attempts in the order of StartAttempt; see SendableAttempts
 	keepAlivesSent  uint64                            // also the number in the wire ID of the latest keep-alive check
 	lostConnections lostConnectionLog
 }
--- a/internal/backend/wire_test.go
+++ b/internal/backend/wire_test.go
@@ -25,6 +25,7 @@
 		},
 		{"run with less than a millisecond", func(p *testPool) {
 			p.StartAttempt(workerID, firstAttempt(1), testRequest(hexID(0xa1)), time.Microsecond)
+			p.sendAttempts()
 		}, "*4\r\n$3\r\nRUN\r\n$16\r\n00000000000000a1\r\n" +
 			"$46\r\nqueue=dim-level,path=00000000000000aa,budget=1\r\n$5\r\nhello\r\n"},
 		{
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -29,11 +29,14 @@
 // retireOutdated retires all connections if addr (empty if unchanged) is a new address of the worker, because another
 // worker may now use the old address. It also retires connections that were dialed before startedAt (0 if unknown).
 // They led to an earlier process of the worker, and after a restart of the worker's machine, data sent over them is
-// answered by a reset.
+// answered by a reset. Attempts that wait on them end as Unreachable.
 func (w *worker) retireOutdated(addr string, startedAt time.Duration) {
 	addressChanged := addr != "" && addr != w.address
 	for _, c := range slices.Clone(w.connections) {
 		if addressChanged || c.dialedAt < startedAt {
+			if c.state != stateConnecting {
+				c.failQueued()
+			}
 			c.retire()
 		}
 	}
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -33,7 +33,8 @@
 // If the limit is reached and no connection can be evicted, admit closes the new connection, unless input has arrived.
 func (l *Loop) admit(ln *listener, fd int, peer netip.AddrPort, inputTime time.Duration) {
 	c := &Conn{
-		loop: l, socket: socket{fd: fd}, remoteAddr: peer, isAccepted: true, state: stateOpen, inputSince: inputTime,
+		loop: l, socket: socket{fd: fd}, remoteAddr: peer, isAccepted: true, state: stateOpen,
+		progress: inputProgress{acceptedAt: l.now, arrivedSince: inputTime},
 	}
 	if !l.ensureAcceptCapacity() && !c.hasInput() {
 		l.refusals.Add()
--- a/internal/eventloop/clock.go
+++ b/internal/eventloop/clock.go
@@ -11,12 +11,19 @@
 
 // clock is a monotonic clock with readings in whole microseconds. It is safe for concurrent use.
 type clock struct {
-	start time.Time
+	start      time.Time
+	sinceStart func() time.Duration
+}
+
+// newClock returns a clock that starts now.
+func newClock() clock {
+	start := time.Now()
+	return clock{start: start, sinceStart: func() time.Duration { return time.Since(start) }}
 }
 
 // now returns the present reading of the clock.
 func (c clock) now() time.Duration {
-	return (clockOrigin + time.Since(c.start)).Truncate(time.Microsecond)
+	return (clockOrigin + c.sinceStart()).Truncate(time.Microsecond)
 }
 
 // fromWallTime converts a wall-clock time to a reading of the clock. If the wall clock was stepped since the start, the
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -27,9 +27,7 @@
 	// peer sent before the failure is still read in the next turn, before the connection closes.
 	writeError error
 
-	// inputSince is the earliest time at which the unread input of an accepted connection may have arrived; 0 means that
-	// none is left from an earlier turn.
-	inputSince time.Duration
+	progress inputProgress // of an accepted connection
 
 	pending          [][]byte      // buffers queued by Write in this turn
 	unsent           []byte        // bytes of earlier turns that the kernel has not taken yet
--- a/internal/eventloop/doc.go
+++ b/internal/eventloop/doc.go
@@ -26,8 +26,15 @@
 //
 // A handler runs on the loop's goroutine and must not block, because the loop serves no other connection meanwhile. It
 // may call any method of Loop and of any Conn or UDPConn, including its own. None of these methods calls a handler
-// before it returns, with one exception: closing an accepted connection calls its handler's HasOpenRequests. Calls that
-// result from a method, such as OnClose after Close or OnOpen after Dial, are made in a later turn.
+// before it returns, with two exceptions: closing an accepted connection calls its handler's HasOpenRequests, and
+// Conn.CatchUp, which no handler may call, delivers input. Calls that result from a method, such as OnClose after Close or
+// OnOpen after Dial, are made in a later turn.
+//
+// # Unseen input
+//
+// A turn reads a part of what has arrived from a client, so that clients at full speed do not make it long. The rest is
+// unseen: it may withdraw what the turn acts on. Conn.UnseenFor tells for how long input of a connection may have waited
+// unread, and Conn.CatchUp reads on. Whoever does something on behalf of a client that can't be taken back asks first.
 //
 // # Buffers
 //
--- a/internal/eventloop/faults_test.go
+++ b/internal/eventloop/faults_test.go
@@ -168,7 +168,8 @@
 	r := newDialRecorder()
 	l.Dial(peer.Addrs()[0], testTimeout, r)
 	for len(r.opened) == 0 {
-		l.poll.dispatch(l.poll.wait(time.Second))
+		events, _ := l.poll.wait(time.Second)
+		l.poll.dispatch(events)
 		l.runDeferred()
 	}
 	requireNoError(t, <-r.opened)
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -44,6 +44,10 @@
 
 	now             time.Duration // time of the present turn
 	inputTime       time.Duration // see InputTime
+	turn            uint64        // number of the present turn
+	polledAt        time.Duration // the last poll that has reported all descriptors with events
+	previousPoll    time.Duration // the same before the present turn
+	catchUpBytes    int           // bytes that Conn.CatchUp has read in this turn
 	clientInput     int           // bytes read from accepted connections since the start
 	stopped         bool
 	deferred        []func()         // calls for the next turn
@@ -62,7 +66,7 @@
 
 // New returns a Loop without listeners and descriptors.
 func New(cfg Config) *Loop {
-	c := clock{start: time.Now()}
+	c := newClock()
 	return &Loop{
 		cfg:        cfg,
 		clock:      c,
@@ -124,8 +128,9 @@
 	for !l.stopped {
 		timeout := l.timeUntil(nextTurn)
 		waitedFrom := l.clock.now()
-		events := l.poll.wait(timeout)
+		events, complete := l.poll.wait(timeout)
 		l.startTurn(waitedFrom, timeout)
+		l.recordPoll(complete)
 		beginTurn(l.now)
 		l.runDeferred()
 		posted = l.runPosted(posted)
@@ -157,6 +162,17 @@
 	}
 }
 
+// recordPoll records the poll with which the present turn begins. complete means that it has reported all descriptors
+// with events.
+func (l *Loop) recordPoll(complete bool) {
+	l.turn++
+	l.catchUpBytes = 0
+	l.previousPoll = l.polledAt
+	if complete {
+		l.polledAt = l.now
+	}
+}
+
 // InputTime returns the earliest time at which the input that a handler gets may have arrived. This is the time of the
 // present turn, unless the machine paused the process before it, or the input has waited in the backlog with its
 // connection or behind input that was read in an earlier turn. The peers' deadlines continue to run meanwhile.
--- a/internal/eventloop/manual_loop_test.go
+++ b/internal/eventloop/manual_loop_test.go
@@ -16,6 +16,7 @@
 	kernelCalls
 	connectResultError error
 	writeError         error
+	readErrors         []error       // the errors of the next reads, in order
 	age                time.Duration // the age of all connections, if it or ageError is set
 	ageError           error
 }
@@ -34,6 +35,15 @@
 	return s.kernelCalls.connectResult(fd)
 }
 
+func (s *scriptedCalls) read(fd int, b []byte) (int, error) {
+	if len(s.readErrors) > 0 {
+		err := s.readErrors[0]
+		s.readErrors = s.readErrors[1:]
+		return -1, err
+	}
+	return s.kernelCalls.read(fd, b)
+}
+
 func (s *scriptedCalls) write(fd int, bufs [][]byte) (int, error) {
 	if s.writeError != nil {
 		return -1, s.writeError
@@ -81,7 +91,8 @@
 // runTurn runs one turn at the time m.now. It takes the steps of Run that the tests need, in the same order, and always
 // sweeps.
 func (m *manualLoop) runTurn() {
-	events := m.poll.wait(m.timeUntil(m.clock.now() + 50*time.Millisecond))
+	events, complete := m.poll.wait(m.timeUntil(m.clock.now() + 50*time.Millisecond))
+	m.recordPoll(complete)
 	m.runDeferred()
 	m.poll.dispatch(events)
 	m.checkDials()
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -111,17 +111,18 @@
 
 // wait waits for events for at most timeout, which is rounded up to milliseconds. The result is valid until the next
 // wait. If a signal interrupts the wait, wait returns the events that are present without waiting further, because a
-// process that continues after a pause must handle them in its first turn.
-func (p *poller) wait(timeout time.Duration) []unix.EpollEvent {
+// process that continues after a pause must handle them in its first turn. complete means that no other descriptor has an
+// event.
+func (p *poller) wait(timeout time.Duration) (events []unix.EpollEvent, complete bool) {
 	timeoutMs := int(max((timeout+time.Millisecond-1)/time.Millisecond, 0))
 	for range maxInterruptions {
 		n, err := p.calls.wait(p.epollFD, p.events, timeoutMs)
 		if err == nil {
-			return p.events[:n]
+			return p.events[:n], n < len(p.events)
 		}
 		timeoutMs = 0 // the error is EINTR: no other is possible with a valid descriptor and buffer
 	}
-	return nil
+	return nil, false
 }
 
 // dispatch passes the events to their receivers, and drops those whose registration has ended in the meantime. Events
--- a/internal/eventloop/poller_test.go
+++ b/internal/eventloop/poller_test.go
@@ -60,7 +60,7 @@
 			requireNoError(t, err)
 		}
 	}
-	events := p.wait(time.Second)
+	events, _ := p.wait(time.Second)
 	if len(events) != 2 {
 		t.Fatalf("%d events in the batch, want 2", len(events))
 	}
@@ -69,7 +69,8 @@
 		t.Errorf("the old connections received %d and %d events, want 1 in total; the new one received %d, want 0",
 			receivers[0].events, receivers[1].events, successor.events)
 	}
-	p.dispatch(p.wait(time.Second))
+	events, _ = p.wait(time.Second)
+	p.dispatch(events)
 	if successor.events != 1 {
 		t.Errorf("the new connection received %d events of its own, want 1", successor.events)
 	}
@@ -89,7 +90,8 @@
 		_, err := p.add(fd, unix.EPOLLIN, receiver)
 		requireNoError(t, err)
 	}
-	p.dispatch(p.wait(time.Second))
+	events, _ := p.wait(time.Second)
+	p.dispatch(events)
 	if !slices.Equal(order, []bool{true, true, false, false}) {
 		t.Errorf("the events were handled in the order %v (true: of a client), want clients first", order)
 	}
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -25,18 +26,31 @@
 	maxReadsAtEnd = 64
 )
 
+// readResult is the result of one read.
+type readResult uint8
+
+const (
+	readData    readResult = iota // data was read, or a signal interrupted the read; there may be more
+	readDrained                   // nothing is left
+	readFailed                    // the kernel lacks memory; there may be more
+	readEnded                     // the input has ended or the connection is no longer read
+)
+
+// drained reports whether the result shows that all input that had arrived has been read.
+func (r readResult) drained() bool { return r == readDrained || r == readEnded }
+
 // readSome reads a part of the data that has arrived. The poller is level-triggered and reports the rest in the next
 // turn.
 func (c *Conn) readSome() {
 	if c.isAccepted {
-		c.readClient(func() (complete bool) {
-			_, full := c.readOnce(c.loop.readBuffer[:clientReadSize])
-			return !full
+		c.readClientInTurn(func() (drained bool) {
+			result, n := c.readOnce(c.loop.readBuffer[:clientReadSize])
+			return result.drained() || 0 < n && n < clientReadSize
 		})
 		return
 	}
 	for range maxReadsPerTurn {
-		if more, full := c.readOnce(c.loop.readBuffer); !more || !full {
+		if result, n := c.readOnce(c.loop.readBuffer); result != readData || 0 < n && n < readBufferSize {
 			return
 		}
 	}
@@ -44,52 +58,62 @@
 
 // readToEnd reads the data that has arrived and the end of the input, in at most maxReadsAtEnd reads.
 func (c *Conn) readToEnd() {
-	c.readClient(func() (complete bool) {
+	c.readClientInTurn(func() (drained bool) {
 		for range maxReadsAtEnd {
-			if more, _ := c.readOnce(c.loop.readBuffer); !more {
-				return true
+			if result, _ := c.readOnce(c.loop.readBuffer); result != readData {
+				return result.drained()
 			}
 		}
 		return false
 	})
 }
 
+// readClientInTurn calls readClient for a read of input that the poller has reported in this turn, or that came with a
+// connection that was accepted in this turn.
+func (c *Conn) readClientInTurn(read func() (drained bool)) {
+	c.readClient(c.loop.now, c.loop.previousPoll, read)
+}
+
 // readClient calls read, which reads a part of the input and reports whether nothing is left. Meanwhile Loop.InputTime
 // returns the earliest time at which the input of this connection may have arrived: input that is left now may have
-// arrived as early as the input that is read now.
-func (c *Conn) readClient(read func() (complete bool)) {
+// arrived as early as the input that is read now. For the other parameters see inputProgress.recordRead.
+func (c *Conn) readClient(start, previousPoll time.Duration, read func() (drained bool)) {
 	turnInputTime := c.loop.inputTime
-	if c.inputSince > 0 {
-		c.loop.inputTime = min(c.inputSince, turnInputTime)
-	}
-	c.inputSince = c.loop.inputTime
-	if read() {
-		c.inputSince = 0
+	if c.progress.arrivedSince > 0 {
+		c.loop.inputTime = min(c.progress.arrivedSince, turnInputTime)
 	}
+	c.progress.arrivedSince = c.loop.inputTime
+	c.progress.recordRead(read(), start, previousPoll)
 	c.loop.inputTime = turnInputTime
 }
 
-// readOnce reads once into buffer and handles the data. It reports whether there may be more to read, and whether the
-// buffer was filled. It reports both for an interrupted read, so that the read is repeated.
-func (c *Conn) readOnce(buffer []byte) (more, full bool) {
+// readOnce reads once into buffer and handles the data. It returns the number of bytes, which is less than the buffer's
+// size if no more data had arrived; the end of the input may have arrived nevertheless.
+func (c *Conn) readOnce(buffer []byte) (result readResult, n int) {
 	n, err := c.loop.calls.read(c.socket.fd, buffer)
 	switch {
 	case errors.Is(err, unix.EINTR):
-		return true, true
+		return readData, 0
+	case errors.Is(err, unix.EAGAIN):
+		return readDrained, 0
 	case err != nil && isTransient(err):
-		return false, false
+		return readFailed, 0
 	case err != nil:
 		c.closeAndNotify(err)
-		return false, false
+		return readEnded, 0
 	case n == 0:
 		c.handleEndOfInput()
-		return false, false
+		return readEnded, 0
 	}
 	if c.isAccepted {
 		c.loop.clientInput += n
+		c.progress.bytes += n
 	}
 	c.handleData(buffer[:n])
-	return c.state.wantsInput(), n == len(buffer)
+	if !c.state.wantsInput() {
+		return readEnded, n
+	}
+	return readData, n
 }
 
 // handleData passes data to the handler, and records the message progress of an accepted connection.
--- /dev/null
+++ b/internal/eventloop/unseen.go
@@ -0,0 +1,106 @@
+package eventloop
+
+import "time"
+
+// Unseen input is input that has arrived from a client and that the loop has not read. It may hold the withdrawal of a
+// request that the loop has already passed on, or be followed by the end of the client's connection. The loop keeps for
+// each accepted connection until when all its input has been read (seenUntil), and reads on when it is asked to
+// (CatchUp), so that the caller can act on what has arrived by now.
+
+const (
+	// recentPollAge is how old the last poll may be for CatchUp to rely on it. Turns that are not busy end within this
+	// time, so that they need no further system calls.
+	recentPollAge = 10 * time.Millisecond
+
+	// catchUpLimit is how many bytes CatchUp reads of one connection in one turn at most: 32 open calls of 16 KiB with
+	// their fields and their withdrawals, which is all that a usual client has on its way.
+	catchUpLimit = 640 << 10
+
+	// turnCatchUpLimit is how many bytes CatchUp reads of all connections in one turn at most, so that clients that send
+	// at full speed do not make the turn long.
+	turnCatchUpLimit = 1 << 20
+)
+
+// inputProgress tells how far the input of an accepted connection has been read.
+type inputProgress struct {
+	acceptedAt time.Duration
+	bytes      int           // number of bytes read so far
+	seenUntil  time.Duration // all input that had arrived by this time has been read
+	unread     bool          // the last read has left input
+	// arrivedSince is the earliest time at which the input that the last read has left may have arrived; 0 if none is
+	// left. Unlike seenUntil it may be up to processPauseThreshold too late, because it counts against a request's time.
+	arrivedSince time.Duration
+
+	catchUpTurn  uint64 // the turn of the last CatchUp
+	catchUpBytes int    // number of bytes that CatchUp has read in that turn
+}
+
+// recordRead records a read that began at start. If it has left input, previousPoll is when the poller last reported that
+// there is none, unless the read before it has left input too.
+func (p *inputProgress) recordRead(drained bool, start, previousPoll time.Duration) {
+	switch {
+	case drained:
+		p.seenUntil = max(p.seenUntil, start)
+		p.arrivedSince = 0
+	case !p.unread:
+		p.seenUntil = max(p.seenUntil, previousPoll)
+	}
+	p.unread = !drained
+}
+
+// UnseenFor returns for how long input of an accepted connection may have waited unread. It returns 0 if no unread input
+// is known and the last poll is recent. If the connection has ended and its handler's OnClose is due, it returns a time
+// that is longer than any limit.
+func (c *Conn) UnseenFor() time.Duration {
+	switch {
+	case c.state.isClosed() || c.writeError != nil:
+		return never
+	case !c.state.wantsInput():
+		return 0
+	case c.progress.unread:
+		return c.loop.clock.now() - c.progress.seenUntil
+	}
+	age := c.loop.clock.now() - max(c.progress.seenUntil, c.loop.polledAt)
+	if age <= recentPollAge {
+		return 0
+	}
+	return age
+}
+
+// InputRate returns how many bytes per second the client of an accepted connection has sent since it connected.
+func (c *Conn) InputRate() float64 {
+	open := c.loop.now - c.progress.acceptedAt + time.Second // a connection that has just been accepted has no rate yet
+	return float64(c.progress.bytes) / open.Seconds()
+}
+
+// CatchUp reads what has arrived on an accepted connection, within the limits of a turn. It calls the connection's
+// handler, so no handler may call it.
+func (c *Conn) CatchUp() {
+	if !c.state.wantsInput() || c.writeError != nil || !c.mayCatchUp() {
+		return
+	}
+	l := c.loop
+	c.readClient(l.clock.now(), l.polledAt, func() (drained bool) {
+		for range maxReadsAtEnd {
+			result, n := c.readOnce(l.readBuffer)
+			c.progress.catchUpBytes += n
+			l.catchUpBytes += n
+			if result != readData {
+				return result.drained()
+			}
+			if !c.mayCatchUp() {
+				return false
+			}
+		}
+		return false
+	})
+}
+
+// mayCatchUp reports whether the limits of the present turn allow CatchUp to read.
+func (c *Conn) mayCatchUp() bool {
+	if c.progress.catchUpTurn != c.loop.turn {
+		c.progress.catchUpTurn = c.loop.turn
+		c.progress.catchUpBytes = 0
+	}
+	return c.progress.catchUpBytes < catchUpLimit && c.loop.catchUpBytes < turnCatchUpLimit
+}
--- a/internal/frontend/thrift/call.go
+++ b/internal/frontend/thrift/call.go
@@ -57,6 +57,7 @@
 func (c *connection) submit(sequenceID uint32, request router.Request, body []byte) {
 	newCall := &call{connection: c, sequenceID: sequenceID}
 	request.Responder = newCall
+	request.Input = c.input
 	request.ClientAddr = c.clientAddr
 	server := c.server
 	if len(c.openCalls) >= maxOpenCalls {
--- a/internal/frontend/thrift/connection.go
+++ b/internal/frontend/thrift/connection.go
@@ -29,6 +29,7 @@
 type connection struct {
 	server     *Server
 	transport  Transport
+	input      router.Input
 	clientAddr netip.AddrPort
 
 	partialFrame     []byte           // the received beginning of an incomplete frame, with its header
--- a/internal/frontend/thrift/harness_test.go
+++ b/internal/frontend/thrift/harness_test.go
@@ -55,7 +55,7 @@
 		InputTime: now,
 		Ready:     func() bool { return true },
 	})
-	return server.newConnection(transport, netip.AddrPort{}), requests, transport
+	return server.newConnection(transport, nil, netip.AddrPort{}), requests, transport
 }
 
 // The indexes of the values in validFields.
--- a/internal/frontend/thrift/server.go
+++ b/internal/frontend/thrift/server.go
@@ -92,13 +92,15 @@
 // Accept returns the handler of a connection that a client has opened. The event loop owns the connection and the
 // handler.
 func (s *Server) Accept(c *eventloop.Conn) eventloop.AcceptedHandler {
-	return s.newConnection(c, c.RemoteAddr())
+	return s.newConnection(c, c, c.RemoteAddr())
 }
 
-func (s *Server) newConnection(transport Transport, clientAddr netip.AddrPort) *connection {
+// newConnection returns the handler of a connection. transport and input are its two directions.
+func (s *Server) newConnection(transport Transport, input router.Input, clientAddr netip.AddrPort) *connection {
 	return &connection{
 		server:     s,
 		transport:  transport,
+		input:      input,
 		clientAddr: clientAddr,
 		openCalls:  map[uint32]*call{},
 	}
--- a/internal/frontend/thrift/violation_test.go
+++ b/internal/frontend/thrift/violation_test.go
@@ -132,7 +132,7 @@
 	now := testNow
 	server := New(Config{Router: &fakeRouter{}, Clock: func() time.Duration { return now }})
 	violate := func() {
-		server.newConnection(&testsupport.Transport{}, netip.AddrPort{}).OnData([]byte{0, 0, 0x60, 0})
+		server.newConnection(&testsupport.Transport{}, nil, netip.AddrPort{}).OnData([]byte{0, 0, 0x60, 0})
 	}
 	for _, step := range []struct {
 		name       string
--- a/internal/frontend/webhook/testserver_test.go
+++ b/internal/frontend/webhook/testserver_test.go
@@ -46,6 +46,10 @@
 	w.router.AttemptEnded(a, router.AttemptResult{Outcome: outcome, InstanceStatus: policy.InstanceWarm, Body: []byte("done " + body)})
 }
 
+func (w *fakeWorkers) SendableAttempts(ids []router.AttemptID) []router.AttemptID { return ids }
+
+func (w *fakeWorkers) SendAttempt(router.AttemptID) {}
+
 func (w *fakeWorkers) CancelUnsent(router.AttemptID) bool { return false }
 
 func (w *fakeWorkers) CancelAttempt(policy.WorkerID, router.AttemptID) {}
--- a/internal/router/example_test.go
+++ b/internal/router/example_test.go
@@ -14,6 +14,8 @@
 	sent              []router.AttemptID
 }
 
+func (p *printingPool) SendableAttempts(ids []router.AttemptID) []router.AttemptID { return ids }
+
 func (p *printingPool) StartAttempt(worker policy.WorkerID, id router.AttemptID, req *router.Request, budget time.Duration) {
 	p.sent = append(p.sent, id)
 	fmt.Printf("attempt %d of request %s to worker %d, budget %v: %s\n", id.Number, req.ID, worker, budget, req.Body)
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 	router       *Router
 	openAttempts map[AttemptID]policy.WorkerID
 	unsent       map[AttemptID]bool // attempts of which no byte has been sent, as set by the test
+	deferSends   bool               // attempts are unsent until SendAttempt
+	waiting      []AttemptID        // attempts that SendableAttempts returns
+	onSend       func(id AttemptID) // called by SendAttempt
 	sent         map[policy.RequestID][]AttemptID
 	loadCommands map[ControlID]bool
 	healthChecks map[ControlID]bool
@@ -44,6 +48,7 @@
 		router:       r,
 		openAttempts: map[AttemptID]policy.WorkerID{},
 		unsent:       map[AttemptID]bool{},
+		onSend:       func(AttemptID) {},
 		sent:         map[policy.RequestID][]AttemptID{},
 		loadCommands: map[ControlID]bool{},
 		healthChecks: map[ControlID]bool{},
@@ -56,6 +61,22 @@
 		panic(fmt.Sprintf("budget %v at time %v is not positive or extends beyond the deadline %v", budget, w.router.now, req.Deadline))
 	}
 	w.openAttempts[id] = worker
+	if w.deferSends {
+		w.unsent[id] = true
+		w.waiting = append(w.waiting, id)
+		return
+	}
+	w.sent[id.Request] = append(w.sent[id.Request], id)
+}
+
+func (w *fakeWorkerPool) SendableAttempts(ids []AttemptID) []AttemptID {
+	w.waiting = slices.DeleteFunc(w.waiting, func(id AttemptID) bool { return !w.unsent[id] })
+	return append(ids, w.waiting...)
+}
+
+func (w *fakeWorkerPool) SendAttempt(id AttemptID) {
+	w.onSend(id)
+	delete(w.unsent, id)
 	w.sent[id.Request] = append(w.sent[id.Request], id)
 }
 
@@ -68,7 +89,10 @@
 	return true
 }
 
-func (w *fakeWorkerPool) CancelAttempt(_ policy.WorkerID, id AttemptID) { delete(w.openAttempts, id) }
+func (w *fakeWorkerPool) CancelAttempt(_ policy.WorkerID, id AttemptID) {
+	delete(w.unsent, id)
+	delete(w.openAttempts, id)
+}
 
 func (w *fakeWorkerPool) LoadInstance(_ policy.WorkerID, _ policy.FunctionID, _ int, id ControlID) {
 	w.loadCommands[id] = true
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -19,6 +19,9 @@
 //
 // After each turn, the router and its policy must hold no state for requests that have ended, whatever the order in which
 // requests arrived, were withdrawn or ended within the turn.
+//
+// Input of clients waits unread at times, and may withdraw the request. No attempt may begin while such input has waited
+// for longer than policy.MayBegin allows, whether it is the first attempt of a request, a repeat, or follows a load.
 func TestEachRequestGetsOneCorrectAnswer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newRouterModel(t)
@@ -28,6 +31,7 @@
 			"cancel":            m.cancel,
 			"disconnect":        m.disconnect,
 			"endpoint update":   m.updateEndpoints,
+			"input arrives":     m.leaveInputUnread,
 			"load command ends": m.endLoadCommand,
 			"health check ends": m.endHealthCheck,
 			"shutdown begins":   m.beginShutdown,
@@ -49,6 +53,7 @@
 	submitted    int // number of requests submitted
 	requests     map[policy.RequestID]*requestModel
 	latest       time.Duration  // deadline of all requests since the shutdown began; 0 before
+	readsInput   bool           // whether CatchUp reads in this turn
 	reportedEnds map[string]int // number of calls of Config.OnRequestEnd, by Request.ID
 }
 
@@ -59,15 +64,50 @@
 	class      int
 	deadline   time.Duration
 	cancelled  bool
+	input      *modelInput
 	mayHaveRun bool // true if an attempt ended and its outcome does not prove that it never ran
 	// attemptsAllowed is the number of attempts sent when mayHaveRun was last set to true. Once mayHaveRun is true,
 	// attemptsAllowed is the maximum number of attempts if the class of the request is non-idempotent.
 	attemptsAllowed int
 }
 
+// modelInput is the connection of one request.
+type modelInput struct {
+	model       *routerModel
+	id          policy.RequestID
+	unreadSince time.Duration // when unread input arrived; 0 if there is none
+	withdraws   bool          // the unread input withdraws the request
+}
+
+func (i *modelInput) UnseenFor() time.Duration {
+	if i.unreadSince == 0 {
+		return 0
+	}
+	return i.model.now - i.unreadSince
+}
+
+func (i *modelInput) InputRate() float64 { return float64(i.id) }
+
+func (i *modelInput) CatchUp() {
+	if !i.model.readsInput {
+		return
+	}
+	i.unreadSince = 0
+	if req := i.model.requests[i.id]; i.withdraws && req.isOpen() {
+		req.cancelled = true
+		i.model.router.Cancel(i.model.now, i.id, ClientInterrupted)
+	}
+}
+
 func newRouterModel(t *rapid.T) *routerModel {
 	m := &routerModel{now: testStart, requests: map[policy.RequestID]*requestModel{}, reportedEnds: map[string]int{}}
 	m.router, m.workers = newTestRouter(t, rapid.Uint64().Draw(t, "seed"))
+	m.workers.deferSends = true
+	m.workers.onSend = func(id AttemptID) {
+		if unseen := m.requests[id.Request].input.UnseenFor(); !policy.MayBegin(unseen) {
+			t.Fatalf("attempt %v begins although input of its client is unread for %v", id, unseen)
+		}
+	}
 	m.router.onRequestEnd = func(_ time.Duration, req *Request, _ RequestOutcome) { m.reportedEnds[req.ID]++ }
 	return m
 }
@@ -92,14 +132,16 @@
 	}
 	m.submitted++
 	req.externalID = fmt.Sprintf("%016x", m.submitted)
+	req.input = &modelInput{model: m}
 	id := m.router.Submit(m.now, Request{
-		Responder: req.responder, ID: req.externalID, Class: req.class,
+		Responder: req.responder, Input: req.input, ID: req.externalID, Class: req.class,
 		FunctionKey: "00000000000000aa", Function: policy.FunctionID(rapid.IntRange(1, 3).Draw(t, "function")),
 		Concurrency: 1, LoadTime: 500 * ms, Body: make([]byte, rapid.IntRange(0, 4000).Draw(t, "size")),
 		Deadline: req.deadline,
 	})
 	if id != 0 {
 		m.requests[id] = req
+		req.input.id = id
 		return
 	}
 	// Submit has refused the request, because accepting it would exceed Limits.MaxOpenRequests or Limits.MaxBodyBytes.
@@ -117,11 +159,16 @@
 	if !ok {
 		return
 	}
-	outcome := rapid.SampledFrom([]policy.Outcome{
+	outcomes := []policy.Outcome{
 		policy.Served, policy.Errored, policy.WorkerOverloaded, policy.Unreachable,
 		policy.ConnectionReset, policy.NotSent, policy.FunctionNotLoaded,
-	}).Draw(t, "outcome")
+	}
+	if m.workers.unsent[id] {
+		outcomes = []policy.Outcome{policy.Unreachable, policy.NotSent}
+	}
+	outcome := rapid.SampledFrom(outcomes).Draw(t, "outcome")
 	delete(m.workers.openAttempts, id)
+	delete(m.workers.unsent, id)
 	if req := m.requests[id.Request]; req != nil && !outcome.NeverRan() {
 		req.mayHaveRun = true
 		req.attemptsAllowed = len(m.workers.sent[id.Request])
@@ -161,6 +208,14 @@
 	}
 }
 
+// leaveInputUnread lets input of a client arrive that only CatchUp reads, and that may withdraw the request.
+func (m *routerModel) leaveInputUnread(t *rapid.T) {
+	if id, ok := drawKey(t, m.requests); ok && m.requests[id].input.unreadSince == 0 {
+		m.requests[id].input.unreadSince = m.now
+		m.requests[id].input.withdraws = rapid.Bool().Draw(t, "withdraws")
+	}
+}
+
 // beginShutdown limits the deadlines of all requests. It happens once, and seldom, because it ends most of what follows.
 func (m *routerModel) beginShutdown(t *rapid.T) {
 	if m.latest > 0 || rapid.IntRange(0, 9).Draw(t, "begins") > 0 {
@@ -188,8 +243,10 @@
 
 // processAndCheck calls Process and compares the router's state with the model.
 func (m *routerModel) processAndCheck(t *rapid.T) {
-	if next := m.router.Process(m.now); next <= m.now {
-		t.Fatalf("Process at %v returned the next call time %v, want a later time", m.now, next)
+	m.readsInput = rapid.Bool().Draw(t, "input is read")
+	if next := m.router.Process(m.now); (next <= m.now) != m.holdsAttempts() || next < m.now {
+		t.Fatalf("Process at %v returned the next call time %v, want a later time unless attempts are held: %v",
+			m.now, next, m.holdsAttempts())
 	}
 	m.checkState(t)
 	open := 0
@@ -207,6 +264,16 @@
 	}
 }
 
+// holdsAttempts reports whether attempts wait until the input of their clients has been read.
+func (m *routerModel) holdsAttempts() bool {
+	for id := range m.workers.unsent {
+		if !policy.MayBegin(m.requests[id.Request].input.UnseenFor()) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkState checks that the router and its policy hold the requests that are open or have attempts in flight, and no
 // others, and that each attempt in flight is known to the workers.
 func (m *routerModel) checkState(t *rapid.T) {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -36,6 +36,8 @@
 type Request struct {
 	Frontend  Frontend
 	Responder Responder
+	// Input is the connection over which the request arrived. nil: the request does not depend on a connection.
+	Input Input
 	// ID is the request's id as text: the client's own or one that the frontend generated. It must be unique among the
 	// pending requests: those that are open, and those that are closed but have attempts in flight. Submit answers a
 	// duplicate with Failed.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,8 @@
 	timers   timerQueue
 	requests requestTable
 	controls controlTable
+	sendable []AttemptID // see sendAttempts; the slices are reused
+	unseen   []Input
 	// noResultLog logs requests that ended without a result.
 	noResultLog noResultLog
 	// latestDeadline is an upper bound for the deadlines of all requests; 0 means no bound. See BeginShutdown.
@@ -105,14 +107,35 @@
 func (r *Router) UpdateEndpoints(update policy.EndpointUpdate) { r.events.add(update) }
 
 // Process fires the due timers, gives the queued events to the policy and executes the actions that the policy returns.
-// It repeats this until no timer is due and no event is queued, and then removes the requests that are done. It returns
-// the time by which it must be called again.
+// It then sends the attempts that may begin, for which it reads input of their clients (see sendAttempts). It repeats
+// this until no timer is due and no event is queued, and then removes the requests that are done. It returns the time by
+// which it must be called again, which is now if attempts wait for the input of their clients.
 func (r *Router) Process(now time.Duration) (next time.Duration) {
 	r.SetNow(now)
+	r.decide()
+	held := r.sendAttempts()
+	for !r.events.empty() { // input that sendAttempts has read
+		r.decide()
+		held = r.sendAttempts()
+	}
+	r.requests.removeDone()
+	r.timers.prune(r.isNeeded)
+	if held {
+		return now
+	}
+	if due, ok := r.timers.nextDue(); ok {
+		return due
+	}
+	return now + maxProcessInterval
+}
+
+// decide fires the due timers, gives the queued events to the policy and executes the actions that the policy returns,
+// until no timer is due and no event is queued.
+func (r *Router) decide() {
 	for {
 		r.fireDueTimers()
 		if r.events.empty() {
-			break
+			return
 		}
 		r.actions = r.actions[:0]
 		r.events.drain(r.deliver)
@@ -120,12 +143,6 @@
 			r.execute(action)
 		}
 	}
-	r.requests.removeDone()
-	r.timers.prune(r.isNeeded)
-	if due, ok := r.timers.nextDue(); ok {
-		return due
-	}
-	return now + maxProcessInterval
 }
 
 // deliver gives an event to the policy as the request table is now, not as it was when the event was queued: the end of an
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -5,7 +5,7 @@
 // pendingRequest is a request that is open, or that is closed and whose end the policy may not have handled yet, or that
 // has attempts that have not ended.
 type pendingRequest struct {
-	Request // Body and Responder are nil once the request is closed
+	Request // Body, Responder and Input are nil once the request is closed
 
 	attempts               []attempt // indexed by AttemptID.Number
 	openAttempts           int       // number of attempts that have not ended
@@ -91,12 +91,13 @@
 }
 
 // release updates the counts of open requests and body bytes for a request that has just been closed, and clears its
-// Body and Responder, which only an open request needs.
+// Body, Responder and Input, which only an open request needs.
 func (t *requestTable) release(p *pendingRequest) {
 	t.open--
 	t.bodyBytes -= len(p.Body)
 	p.Body = nil
 	p.Responder = nil
+	p.Input = nil
 }
 
 // markIfDone marks a request as done if it is closed and has no open attempts. removeDone then removes it, or markIfDone
--- a/internal/router/workerpool.go
+++ b/internal/router/workerpool.go
@@ -19,9 +19,16 @@
 // the Router's AttemptEnded, LoadCommandEnded or HealthCheckEnded once, either before the method returns or later. The
 // pool makes no such call for an attempt or a control call that the Router has cancelled.
 type WorkerPool interface {
-	// StartAttempt sends a request to a worker, which must answer within budget. The pool must not use req after the
-	// method returns, but may keep the body, which does not change.
+	// StartAttempt prepares an attempt to send a request to a worker, which must answer within budget. The pool sends it
+	// when the Router calls SendAttempt. The pool must not use req after the method returns, but may keep the body, which
+	// does not change.
 	StartAttempt(worker policy.WorkerID, id AttemptID, req *Request, budget time.Duration)
+	// SendableAttempts appends the attempts that have not been sent and could be sent now to ids, in the order of
+	// StartAttempt.
+	SendableAttempts(ids []AttemptID) []AttemptID
+	// SendAttempt sends an attempt that SendableAttempts has returned. If it can no longer be sent now, the attempt goes
+	// on waiting.
+	SendAttempt(id AttemptID)
 	// CancelUnsent cancels an attempt of which no byte has been sent. It returns false and does nothing if the attempt
 	// has ended or any byte of it may have been sent.
 	CancelUnsent(id AttemptID) bool
