Take back withdrawn attempts whose bytes a worker has not taken

Cause: an attempt was written at once, whatever the worker had taken. Beyond the socket's send buffer, which the kernel lets grow to 4 MB, the event loop kept up to 640 KiB for the connection, and nothing of that could be withdrawn. A close did not help: the kernel goes on sending what it holds.

On the code of before, a worker that reads nothing until 16 calls of 16,000 bytes are withdrawn then reads 8 of them (trial of TestWithdrawnCallsDoNotReachAWorkerThatReadsLater without its wait for a log line that the old code does not have; with it the test fails too).

Change: - an attempt waits in the pool while the worker does not take what was written, so that it can be withdrawn and gets the budget that is left. Such a connection is selected last, and after the time of a dial the attempt moves to another one or ends as unreachable; - the send buffer of a connection to a worker is limited to 32 KiB (doubled by the kernel); - a withdrawn attempt that the worker's machine has not acknowledged 60 ms later (SIOCOUTQ) takes its connection with it; - closing a connection with bytes that the peer has not acknowledged resets it, which drops them. Attempts that have not been written are not lost with the connection: they move. Where the kernel does not tell what is acknowledged, only the bytes in the program count.

--- a/cmd/functionrouter/fake_worker_test.go
+++ b/cmd/functionrouter/fake_worker_test.go
@@ -21,8 +21,11 @@
 	t        *testing.T
 	addr     string
 	requests chan workerRequest
+	reading  chan struct{} // if not nil, the worker reads nothing until startReading closes it
+	readOnce sync.Once
 
 	mu       sync.Mutex
+	ended    int         // number of connections that have been read to their end
 	listenFD int         // listening socket until startAccepting or stop; -1 afterwards
 	closers  []io.Closer // the listener, its connections, and the connection that fills its backlog
 }
@@ -77,6 +80,45 @@
 	return w
 }
 
+// startDeafWorker returns a worker that accepts connections and reads nothing until startReading. Its machine takes some
+// KiB of each connection.
+func startDeafWorker(t *testing.T) *fakeWorker {
+	t.Helper()
+	const receiveBuffer = 4 << 10
+	w := newFakeWorker(t)
+	w.reading = make(chan struct{})
+	if err := syscall.SetsockoptInt(w.listenFD, syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer); err != nil {
+		t.Fatal(err)
+	}
+	w.startAccepting()
+	return w
+}
+
+// startReading makes a worker of startDeafWorker read its connections. It has no effect on other workers.
+func (w *fakeWorker) startReading() {
+	w.readOnce.Do(func() {
+		if w.reading != nil {
+			close(w.reading)
+		}
+	})
+}
+
+// waitForEnds waits until the worker has read this number of connections to their end.
+func (w *fakeWorker) waitForEnds(count int) {
+	w.t.Helper()
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		ended := w.ended
+		w.mu.Unlock()
+		if ended >= count {
+			return
+		}
+		if time.Now().After(deadline) {
+			w.t.Fatalf("%d connections have ended, want %d", ended, count)
+		}
+	}
+}
+
 // startAccepting starts to accept connections and to read from them. The goroutines end after stop.
 func (w *fakeWorker) startAccepting() {
 	w.t.Helper()
@@ -114,6 +156,7 @@
 		_ = syscall.Close(w.listenFD) // the error does not matter to the test
 		w.listenFD = -1
 	}
+	w.startReading() // ends the goroutines of the connections
 	for _, c := range w.closers {
 		_ = c.Close() // the test may have stopped the worker already, and connections may have ended
 	}
@@ -122,6 +165,14 @@
 // serveConnection passes the requests on a connection to the test, and answers the router's keep-alive checks.
 func (w *fakeWorker) serveConnection(conn net.Conn) {
 	defer func() { _ = conn.Close() }() // stop may have closed it
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.ended++
+	}()
+	if w.reading != nil {
+		<-w.reading
+	}
 	for in := bufio.NewReader(conn); ; {
 		words, err := readCommand(in)
 		if err != nil {
--- a/cmd/functionrouter/serve.go
+++ b/cmd/functionrouter/serve.go
@@ -64,6 +64,7 @@
 // has just ended. The shutdown runs last, so that it sees the remaining work.
 func (s *server) endTurn(now time.Duration) (next time.Duration) {
 	next = s.router.Process(now)
+	next = min(next, s.pool.CheckDeliveries(now))
 	next = min(next, s.discovery.Poll(now))
 	next = min(next, s.extensions.process(now))
 	s.runPeriodicTasks(now)
--- a/cmd/functionrouter/withdrawn_test.go
+++ b/cmd/functionrouter/withdrawn_test.go
@@ -102,3 +102,27 @@
 		}
 	}
 }
+
+// Guards against attempts that reach a worker long after their clients have gone: a worker takes no bytes for a while, and
+// calls are withdrawn that have been written, or partly so, by then.
+func TestWithdrawnCallsDoNotReachAWorkerThatReadsLater(t *testing.T) {
+	worker := startDeafWorker(t)
+	h := startHarness(t, deploymentSettings, listedWorker{name: "s-1", addr: worker.addr})
+	leaving := h.connect()
+	offset := h.log.size()
+	first := leaving.lastSequence + 1
+	for n := range 16 {
+		leaving.sendCall("safe", fmt.Sprintf("%016x", n), strings.Repeat("x", 16000))
+	}
+	last := leaving.lastSequence
+	leaving.checkHealth() // the calls have been sent as far as the worker takes them
+	for sequence := first; sequence <= last; sequence++ {
+		leaving.sendInterrupt(sequence)
+	}
+	const closed = `error="worker has not taken the bytes of an attempt that was withdrawn"`
+	h.log.waitFor(t, offset, closed)
+	leaving.checkHealth() // the router has closed all connections that it closes now
+	worker.startReading()
+	worker.waitForEnds(strings.Count(h.log.since(offset), closed))
+	worker.expectNoRequest()
+}
--- a/internal/backend/codec_test.go
+++ b/internal/backend/codec_test.go
@@ -143,7 +143,7 @@
 	if !transport.Closed {
 		t.Fatal("the connection with an incomplete answer is still open")
 	}
-	if err := logged.lastError("worker connection closed"); !errors.Is(err, errStalledAnswer) {
+	if err := logged.lastCloseError(); !errors.Is(err, errStalledAnswer) {
 		t.Errorf("logged error %v, want %v", err, errStalledAnswer)
 	}
 	transport.handler.OnData(rest) // bytes after the close must be ignored
--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -59,10 +59,15 @@
 }
 
 // CancelUnsent cancels an attempt that has not been written. No result is reported, and a dial continues. If the attempt
-// has been written or has ended, CancelUnsent does nothing and returns false.
+// has ended, CancelUnsent returns false. If it has been written, CancelUnsent returns false, and the connection is closed
+// unless the attempt reaches the worker soon (see CheckDeliveries).
 func (p *Pool) CancelUnsent(attemptID router.AttemptID) bool {
 	call := p.attempts[attemptID]
-	if call == nil || call.written {
+	if call == nil {
+		return false
+	}
+	if call.written {
+		call.connection.watchDelivery(call)
 		return false
 	}
 	delete(p.attempts, attemptID)
@@ -82,7 +87,7 @@
 	delete(p.attempts, attemptID)
 	call.connection.release(call)
 	if p.cfg.AllowCancel {
-		call.connection.transport.Write(encodeCommand(commandCancel, call.wireID))
+		call.connection.writeBytes(encodeCommand(commandCancel, call.wireID))
 	}
 }
 
@@ -142,7 +147,7 @@
 	}
 	for _, c := range w.connections {
 		if c.state != stateConnecting {
-			c.transport.Write(encodeCommand(commandUnload, formatFunctionID(function)))
+			c.writeBytes(encodeCommand(commandUnload, formatFunctionID(function)))
 			return
 		}
 	}
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -25,6 +25,10 @@
 	// recentIDs holds the wire IDs of written attempts that recently ended or were cancelled.
 	recentIDs recentIDs
 
+	writtenBytes   int                // number of bytes written
+	deliveredBytes int                // how many of them the worker's machine has got at least
+	withdrawn      []withdrawnAttempt // attempts whose delivery is watched, in the order of their withdrawal
+
 	dialedAt   time.Duration
 	lastUsedAt time.Duration // when a call was last written or answered; initially dialedAt
 
@@ -38,6 +42,7 @@
 // succeeds. The caller must have checked with Pool.preferenceFor that c may carry call.
 func (c *connection) send(call *pendingCall) {
 	call.connection = c
+	call.queuedAt = c.pool.now
 	c.pending[call.wireID] = call
 	if call.kind == attemptCall {
 		c.pendingAttempts++
@@ -49,9 +54,11 @@
 	c.write(call)
 }
 
-// canWriteAttempts reports whether the dial of c has succeeded and c is still open.
+// canWriteAttempts reports whether c is open and the worker takes what is written. While it does not, attempts wait, so
+// that they can be withdrawn.
 func (c *connection) canWriteAttempts() bool {
-	return c.state == stateReady || c.state == stateDraining
+	isOpen := c.state == stateReady || c.state == stateDraining
+	return isOpen && c.transport.Unsent() == 0
 }
 
 // write passes the call's command to the transport, which then owns the bytes. A call is written only once.
@@ -60,14 +67,23 @@
 	call.sentAt = c.pool.now
 	c.lastUsedAt = c.pool.now
 	if call.kind == attemptCall {
-		c.transport.Write(call.encodeAttemptHeader(c.pool.now), call.body, crlf)
+		c.writeBytes(call.encodeAttemptHeader(c.pool.now), call.body, crlf)
 	} else {
-		c.transport.Write(call.command)
+		c.writeBytes(call.command)
 	}
+	call.endOffset = c.writtenBytes
 	call.command = nil
 	call.body = nil
 }
 
+// writeBytes passes bytes to the transport and counts them.
+func (c *connection) writeBytes(bufs ...[]byte) {
+	for _, b := range bufs {
+		c.writtenBytes += len(b)
+	}
+	c.transport.Write(bufs...)
+}
+
 // release removes call from the pending calls if it is one of them. If call is an attempt that was written, its wire ID
 // is added to recentIDs. release does not change the queue: for a queued call use dequeue, or remove the call from the
 // queue as well, because every call that is in the queue when the dial succeeds is written.
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -19,9 +19,14 @@
 // fakeTransport records what the pool writes to a worker. The test calls the handler's methods in place of the worker.
 type fakeTransport struct {
 	testsupport.Transport
-	handler eventloop.DialHandler
+	handler     eventloop.DialHandler
+	unsent      int
+	undelivered int
 }
 
+func (f *fakeTransport) Unsent() int      { return f.unsent }
+func (f *fakeTransport) Undelivered() int { return f.undelivered }
+
 // wrote reports whether text was written.
 func (f *fakeTransport) wrote(text string) bool { return strings.Contains(f.Written.String(), text) }
 
--- a/internal/backend/keep_alive_test.go
+++ b/internal/backend/keep_alive_test.go
@@ -64,7 +64,7 @@
 	if unresponsive.Closed != healthy {
 		t.Errorf("unresponsive connection closed: %v, want %v", unresponsive.Closed, healthy)
 	}
-	if err := logged.lastError("worker connection closed"); errors.Is(err, errUnresponsiveConnection) != healthy {
+	if err := logged.lastCloseError(); errors.Is(err, errUnresponsiveConnection) != healthy {
 		t.Errorf("logged error %v, want error %q: %v", err, errUnresponsiveConnection, healthy)
 	}
 	unresponsive.handler.OnClose(nil)
--- a/internal/backend/log_test.go
+++ b/internal/backend/log_test.go
@@ -42,10 +42,11 @@
 	return nil
 }
 
-// lastError returns the value of "error" in the last line with this message, or nil if there is none.
-func (l *logRecorder) lastError(message string) error {
+// lastCloseError returns the value of "error" in the last line about a connection that the pool has closed, or nil if
+// there is none.
+func (l *logRecorder) lastCloseError() error {
 	for i := len(l.lines) - 1; i >= 0; i-- {
-		if l.lines[i].message == message {
+		if l.lines[i].message == "worker connection closed" {
 			err, _ := l.lines[i].attributes["error"].(error)
 			return err
 		}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -34,8 +34,12 @@
 	Write(bufs ...[]byte)
 	// Close closes the stream and discards the queued bytes. If the stream was open, the handler's OnClose is called in
 	// a later turn of the event loop, never before Close returns. If the dial has not ended, Close cancels it, and the
-	// handler gets no further events. A second Close does nothing.
+	// handler gets no further events. A second Close does nothing. The worker gets no byte afterwards that it had not got.
 	Close()
+	// Unsent returns how many of the written bytes wait because the worker does not take them.
+	Unsent() int
+	// Undelivered returns how many of the written bytes the worker's machine has not acknowledged.
+	Undelivered() int
 }
 
 // Config holds the settings of a Pool.
@@ -65,6 +69,7 @@
 	workers         map[policy.WorkerID]*worker
 	attempts        map[router.AttemptID]*pendingCall // attempts that have neither ended nor been cancelled
 	unsent          []*pendingCall                    // attempts in the order of StartAttempt; see SendableAttempts
+	withdrawn       []*connection                     // connections with withdrawn attempts; see CheckDeliveries
 	keepAlivesSent  uint64                            // also the number in the wire ID of the latest keep-alive check
 	lostConnections lostConnectionLog
 }
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -117,6 +117,7 @@
 	}
 	c.release(call)
 	c.lastUsedAt = c.pool.now
+	c.deliveredBytes = max(c.deliveredBytes, call.endOffset)
 	c.keepAlive.latestSendOfAnsweredCall = max(c.keepAlive.latestSendOfAnsweredCall, call.sentAt)
 	c.pool.endAnswered(call, a)
 	return nil
--- a/internal/backend/selection.go
+++ b/internal/backend/selection.go
@@ -18,11 +18,11 @@
 const (
 	// The connection must not carry the call.
 	notEligible preference = iota // not eligible
-	// The connection has an unanswered keep-alive check.
+	// The connection has an unanswered keep-alive check, or written bytes that the worker does not take.
 	unresponsive // unresponsive
 	// The connection would queue the call until its dial ends.
 	beingDialed // being dialed
-	// The connection is open and has no unanswered keep-alive check.
+	// The connection is open, and neither applies.
 	responsive // responsive
 )
 
@@ -74,6 +74,8 @@
 		return unresponsive
 	case c.state == stateConnecting:
 		return beingDialed
+	case c.transport.Unsent() > 0:
+		return unresponsive
 	default:
 		return responsive
 	}
--- a/internal/backend/wire_test.go
+++ b/internal/backend/wire_test.go
@@ -124,7 +124,7 @@
 			transport := p.startOnOpenConnection(firstAttempt(1), id)
 			p.CheckHealth(workerID, 9)
 			transport.handler.OnData(encodeCommand(elements[0], elements[1:]...))
-			if err := logged.lastError("worker connection closed"); !transport.Closed || !errors.Is(err, errMalformedAnswer) {
+			if err := logged.lastCloseError(); !transport.Closed || !errors.Is(err, errMalformedAnswer) {
 				t.Errorf("connection closed: %v, want true; logged error %v, want %v",
 					transport.Closed, err, errMalformedAnswer)
 			}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -30,6 +30,7 @@
 	progress inputProgress // of an accepted connection
 
 	pending          [][]byte      // buffers queued by Write in this turn
+	pendingBytes     int           // their total size
 	unsent           []byte        // bytes of earlier turns that the kernel has not taken yet
 	lastSendProgress time.Duration // when the kernel last took some of unsent, or unsent got its first bytes
 	activity         messageActivity
@@ -126,8 +127,12 @@
 	c.release()
 }
 
-// release closes the socket, drops the bytes that are not written, and removes the connection from the loop.
+// release closes the socket, drops the bytes that are not written, and removes the connection from the loop. It resets a
+// dialed connection whose peer has not taken all bytes: the kernel would go on sending them.
 func (c *Conn) release() {
+	if !c.isAccepted && c.sendQueue() > 0 {
+		resetOnClose(c.socket.fd)
+	}
 	c.dial = nil
 	c.dropPending()
 	c.setUnsent(nil)
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -88,6 +88,7 @@
 		return
 	}
 	c.socket.fd = fd
+	limitSendBuffer(fd)
 	err = c.loop.calls.connect(fd, sockaddr)
 	if isOneOf(err, unix.EINPROGRESS, unix.EINTR) {
 		err = nil
--- a/internal/eventloop/syscalls.go
+++ b/internal/eventloop/syscalls.go
@@ -32,6 +32,9 @@
 	peek(fd int, b []byte) (n int, err error)
 	// write writes bufs in one gathered call, as far as the send buffer has space. EAGAIN means that it has none.
 	write(fd int, bufs [][]byte) (n int, err error)
+	// sendQueue returns how many bytes of a connection are in its send queue, because the peer's machine has not
+	// acknowledged them.
+	sendQueue(fd int) (int, error)
 	// wait waits for events for at most timeoutMs milliseconds. EINTR means that a signal ended the wait.
 	wait(poller int, events []unix.EpollEvent, timeoutMs int) (n int, err error)
 }
@@ -85,6 +88,8 @@
 	return unix.Writev(fd, bufs)
 }
 
+func (kernelCalls) sendQueue(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCOUTQ) }
+
 func (kernelCalls) wait(poller int, events []unix.EpollEvent, timeoutMs int) (int, error) {
 	return unix.EpollWait(poller, events, timeoutMs)
 }
@@ -106,6 +111,18 @@
 // peer's acknowledgment. An error is ignored: the socket works without the option, with some delay.
 func disableNagle(fd int) { _ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) }
 
+// limitSendBuffer limits how many bytes the kernel takes before the peer takes them. An error is ignored: the kernel then
+// takes more.
+func limitSendBuffer(fd int) {
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferSize)
+}
+
+// resetOnClose makes closeDescriptor reset the connection, which drops its send queue (SO_LINGER with a time of 0). An
+// error is ignored: the kernel then goes on sending the queue.
+func resetOnClose(fd int) {
+	_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+}
+
 // closeDescriptor closes fd. Linux closes it even if close(2) returns an error. It must not be closed again, because
 // another socket may have got its number in the meantime.
 func closeDescriptor(fd int) { _ = unix.Close(fd) }
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -14,10 +14,14 @@
 	// maxPendingBuffers is how many buffers a connection queues within a turn before it writes them. A buffer may take
 	// far more memory than its bytes, and a client that sends many short requests gets as many answers in one turn.
 	maxPendingBuffers = 128
+
+	// maxPendingBytes is how many bytes a dialed connection queues within a turn before it writes them, so that Unsent
+	// soon tells whether the kernel takes more.
+	maxPendingBytes = 8 << 10
 )
 
-// Write queues buffers until the end of the turn, or until there are maxPendingBuffers; the caller must not change them
-// before that. The buffers are dropped if the connection is closed or not connected yet, if an earlier write has failed,
+// Write queues buffers until the end of the turn, or until there are maxPendingBuffers or, on a dialed connection,
+// maxPendingBytes; the caller must not change them before that. The buffers are dropped if the connection is closed or not connected yet, if an earlier write has failed,
 // and after CloseAfterFlush. Write must not be called before OnOpen (see Loop.Dial). A peer that leaves too many bytes
 // unread is disconnected: the handler's OnClose gets the error in a later turn.
 func (c *Conn) Write(bufs ...[]byte) {
@@ -29,7 +33,11 @@
 	}
 	c.activity.recordAnswer(c.loop.now)
 	c.pending = append(c.pending, bufs...)
-	if len(c.pending) >= maxPendingBuffers && c.state.isConnected() {
+	for _, b := range bufs {
+		c.pendingBytes += len(b)
+	}
+	isFull := len(c.pending) >= maxPendingBuffers || !c.isAccepted && c.pendingBytes >= maxPendingBytes
+	if isFull && c.state.isConnected() {
 		c.writePending()
 		c.dropPending()
 	}
@@ -62,6 +70,7 @@
 func (c *Conn) dropPending() {
 	clear(c.pending)
 	c.pending = c.pending[:0]
+	c.pendingBytes = 0
 }
 
 // closeIfFlushed closes the connection if it was only waiting for the kernel to take its last bytes.
