Read what has arrived before a connection is closed for its timeout

What callers would see: a request of more than 16 KiB whose first bytes were read, whose rest arrived while the machine paused the process for 2.5 s, is lost with its connection.

Cause: a turn reads 16 KiB of a client and then closes the connections whose message is incomplete for 2.5 s; only idle connections were asked for unread input. The same holds after signals that interrupt the poll: nothing is read in that turn.

Evidence: TestConnectionWithUnreadRestOfMessageIsNotTimedOut fails on the code of before: the connection is closed after 16 KiB of the rest. Not seen in service.

Change: a connection that has timed out is read to the end of what has arrived, and closed only if it still has timed out. The next turn begins at once.

--- a/internal/eventloop/manual_loop_test.go
+++ b/internal/eventloop/manual_loop_test.go
@@ -17,6 +17,7 @@
 	connectResultError error
 	writeError         error
 	readErrors         []error       // the errors of the next reads, in order
+	noInput            bool          // reads find nothing
 	age                time.Duration // the age of all connections, if it or ageError is set
 	ageError           error
 }
@@ -41,6 +42,9 @@
 		s.readErrors = s.readErrors[1:]
 		return -1, err
 	}
+	if s.noInput {
+		return -1, unix.EAGAIN
+	}
 	return s.kernelCalls.read(fd, b)
 }
 
--- a/internal/eventloop/sweep.go
+++ b/internal/eventloop/sweep.go
@@ -16,14 +16,27 @@
 func (l *Loop) sweep() {
 	l.lastSweep = l.now
 	for c := range l.accepted {
-		if cause, timedOut := c.timedOut(); timedOut {
-			c.closeWithCause(cause)
+		if _, timedOut := c.timedOut(); timedOut {
+			c.closeTimedOut()
 		}
 	}
 	l.logRefusals()
 	l.logInterrupted()
 }
 
+// closeTimedOut closes a connection that has timed out. It first reads what has arrived: the timeout counts from what has
+// been read, and the rest of a message may have arrived since then, while the machine paused the process or behind other
+// input.
+func (c *Conn) closeTimedOut() {
+	if c.state.wantsInput() && c.writeError == nil {
+		c.readToEnd()
+		c.loop.deferCall(func() {}) // the next turn handles at once what has been read
+	}
+	if cause, timedOut := c.timedOut(); timedOut {
+		c.closeWithCause(cause)
+	}
+}
+
 // timedOut reports whether an accepted connection must be closed because of a timeout, and the cause to close it with.
 // A connection with open requests times out only while it is flushing.
 func (c *Conn) timedOut() (cause CloseCause, timedOut bool) {
@@ -31,11 +44,5 @@
 		return PeerNotReading, true
 	}
 	cause, timedOut = c.activity.timedOut(c.loop.now, len(c.unsent) > 0)
-	if !timedOut || c.hasOpenRequests() {
-		return cause, false
-	}
-	if cause == IdleTimeout && c.hasInput() {
-		return cause, false // a request may be in the unread input
-	}
-	return cause, true
+	return cause, timedOut && !c.hasOpenRequests()
 }
--- a/internal/eventloop/sweep_test.go
+++ b/internal/eventloop/sweep_test.go
@@ -55,6 +55,7 @@
 	step, maxDuration time.Duration, receive func(h *echoHandler, at time.Duration) bool,
 ) time.Duration {
 	l := New(Config{})
+	l.calls = &scriptedCalls{noInput: true}
 	h := &echoHandler{}
 	conn := newAcceptedConn(l, h)
 	conn.activity.lastActivity = l.now
@@ -71,3 +72,32 @@
 	}
 	return maxDuration
 }
+
+// lengthHandler receives messages of a fixed length, each of which it answers at once.
+type lengthHandler struct {
+	requestHandler
+	length int
+}
+
+func (h *lengthHandler) MessageProgress() (int, bool) {
+	return h.received / h.length, h.received%h.length > 0
+}
+
+// Guards against requests that are lost with their connection: the rest of a message has arrived, but waits unread when
+// the timeout of the message has passed, because the machine paused the process.
+func TestConnectionWithUnreadRestOfMessageIsNotTimedOut(t *testing.T) {
+	m := newManualLoop(t)
+	h := &lengthHandler{length: clientReadSize + 2}
+	m.accept(h)
+	h.conn = m.conn
+	m.peerSends("x", false)
+	m.runTurn()
+	m.now += messageTimeout + time.Second
+	m.peerSends(string(make([]byte, h.length-1)), false)
+	m.runTurn() // reads a part of the rest, and sweeps
+	m.expectState(stateOpen)
+	if h.received != h.length || len(m.deferred) == 0 {
+		t.Errorf("%d bytes received, want %d; calls deferred to the next turn: %d, want some, so that it begins at once",
+			h.received, h.length, len(m.deferred))
+	}
+}
