Give a worker the budget that is left when its attempt is written

What callers would see: a worker goes on with a call for longer than its client waits.

Cause: the budget was counted from the time at which the turn began.

Evidence: TestQueuedAttemptCarriesRemainingBudget, rows with a turn that has lasted, which the code of before sends with the budget of the turn's begin. Not seen in service.

Change: the budget, and whether any is left, are taken from the clock when the attempt is written.

--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -103,6 +103,7 @@
 		MaxStreamsPerConnection: limits.StreamsPerConnection,
 		MaxConnections:          s.cfg.maxWorkerConnections(),
 		AllowCancel:             s.cfg.policy.AllowCancel,
+		ReadClock:               s.loop.ReadClock,
 		Dial: func(addr string, timeout time.Duration, h eventloop.DialHandler) backend.Transport {
 			return s.loop.Dial(addr, timeout, h)
 		},
--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -50,7 +50,7 @@
 	if call == nil || !call.connection.canWriteAttempts() || !call.connection.unqueue(call) {
 		return
 	}
-	if call.budgetEnd <= p.now {
+	if call.budgetEnd <= p.cfg.ReadClock() {
 		call.connection.release(call)
 		p.endUnanswered(call, policy.NotSent)
 		return
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -67,7 +67,7 @@
 	call.sentAt = c.pool.now
 	c.lastUsedAt = c.pool.now
 	if call.kind == attemptCall {
-		c.writeBytes(call.encodeAttemptHeader(c.pool.now), call.body, crlf)
+		c.writeBytes(call.encodeAttemptHeader(c.pool.cfg.ReadClock()), call.body, crlf)
 	} else {
 		c.writeBytes(call.command)
 	}
--- a/internal/backend/dial_test.go
+++ b/internal/backend/dial_test.go
@@ -74,21 +74,25 @@
 	}
 }
 
-// Guards against sending an attempt that has waited for a dial with its initial budget instead of the remaining budget.
-// An attempt whose budget is spent is not sent.
+// Guards against sending an attempt that has waited for a dial, or for the end of a long turn, with its initial budget
+// instead of the remaining budget. An attempt whose budget is spent is not sent.
 func TestQueuedAttemptCarriesRemainingBudget(t *testing.T) {
 	for _, test := range []struct {
-		waited time.Duration
-		want   string // empty if the attempt is not sent
+		waited  time.Duration
+		turnAge time.Duration
+		want    string // empty if the attempt is not sent
 	}{
-		{0, "budget=1000"},
-		{300 * time.Millisecond, "budget=700"},
-		{time.Second, ""},
+		{0, 0, "budget=1000"},
+		{300 * time.Millisecond, 0, "budget=700"},
+		{300 * time.Millisecond, 200 * time.Millisecond, "budget=500"},
+		{time.Second, 0, ""},
+		{300 * time.Millisecond, 700 * time.Millisecond, ""},
 	} {
 		p := newTestPool()
 		a := firstAttempt(1)
 		p.start(a, hexID(0xa1))
 		p.SetNow(test.waited)
+		p.turnAge = test.turnAge
 		p.transports[0].handler.OnOpen(nil)
 		ended := p.recorder.attempts[a]
 		if test.want == "" {
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -81,6 +81,7 @@
 	recorder     *resultRecorder
 	transports   []*fakeTransport
 	holdAttempts bool
+	turnAge      time.Duration // how long the present turn has lasted
 }
 
 func newTestPool() *testPool {
@@ -100,6 +101,7 @@
 		MaxStreamsPerConnection: 2,
 		MaxConnections:          100,
 		AllowCancel:             true,
+		ReadClock:               func() time.Duration { return p.now + p.turnAge },
 		Dial: func(_ string, _ time.Duration, h eventloop.DialHandler) Transport {
 			p.transports = append(p.transports, &fakeTransport{handler: &sendingHandler{DialHandler: h, pool: p}})
 			return p.lastTransport()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -55,6 +55,10 @@
 	MaxConnections          int  // limit on the connections to all workers together
 	AllowCancel             bool // whether CancelAttempt sends a cancel command to the worker
 
+	// ReadClock reads the event loop's clock. An attempt carries the budget that is left when it is written, because the
+	// turn may have lasted, or the machine may have paused the process in it.
+	ReadClock func() time.Duration
+
 	// Dial opens a connection to addr, a "host:port", and returns its Transport, which must not be nil. h receives the
 	// connection's events. OnOpen, with the result of the dial, must be called in a later turn of the event loop: if a
 	// failure were reported before Dial returns, the call that caused the dial would neither be sent nor end.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -105,6 +105,9 @@
 // Now returns the time of the present turn, on the loop's monotonic clock.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// ReadClock returns the present time on the loop's clock. It is later than Now if the turn has lasted.
+func (l *Loop) ReadClock() time.Duration { return l.clock.now() }
+
 // TimeFromWallClock converts a wall-clock time to the loop's clock.
 func (l *Loop) TimeFromWallClock(t time.Time) time.Duration { return l.clock.fromWallTime(t) }
 
