Begin no attempt for a webhook client that has gone

Cause: the frontend kept the request for a redelivery and told the router nothing, and a close that waited unread behind pipelined input was not looked for.

Evidence: TestAbandonedRequestBeginsNoAttempt and TestRequestOfAClientThatHasGoneIsAbandoned state the new rule; the code of before has neither method and submits the redelivery of a request whose first client has gone only once.

Change: the client has gone when no connection that waits for the outcome is open. Then Router.Abandon begins no further attempt. If none has begun, the request is cancelled, the webhook-id forgotten and an order released in the ledger, so that the redelivery runs; an order whose client goes while it is recorded is not submitted. An attempt that has begun goes on, and a redelivery gets its outcome; while it waits, attempts may begin again. The connections that wait are the input of the request, so that a close is read before an attempt begins.

--- a/internal/frontend/webhook/connection.go
+++ b/internal/frontend/webhook/connection.go
@@ -1,6 +1,10 @@
 package webhook
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"functionrouter/internal/router"
+)
 
 // maxDiscardedBytes is the number of bytes that a connection receives and discards after an HTTP request that could not
 // be parsed. If the client sends more, the connection is closed.
@@ -11,16 +15,18 @@
 type connection struct {
 	receiver   *Receiver
 	transport  Transport
+	input      router.Input
 	clientAddr netip.AddrPort
 
 	buffered             []byte       // bytes received and not yet handled
 	head                 *requestHead // head of the HTTP request whose body is incomplete; otherwise nil
 	httpRequestsReceived int          // number of complete HTTP requests
 
-	awaitingResponse   bool // a complete HTTP request has not been responded to yet
-	closeAfterResponse bool // the next response is the last one
-	finished           bool // further input is discarded, and nothing more is written
-	discardedBytes     int  // number of bytes received after finished was set
+	awaited            *delivery // the pending delivery whose outcome the connection waits for; otherwise nil
+	awaitingResponse   bool      // a complete HTTP request has not been responded to yet
+	closeAfterResponse bool      // the next response is the last one
+	finished           bool      // further input is discarded, and nothing more is written
+	discardedBytes     int       // number of bytes received after finished was set
 }
 
 // HasOpenRequests reports whether a complete HTTP request has not been responded to yet.
@@ -57,8 +63,14 @@
 // closed its side of the connection may still read. Pipelined HTTP requests after it are dropped without a response.
 func (c *connection) OnEndOfInput() { c.closeAfterResponse = true }
 
-// OnClose ends the connection. A pending request continues, and the client can get its outcome with a redelivery.
-func (c *connection) OnClose(error) { c.finish() }
+// OnClose ends the connection. If no other connection waits for the outcome of the pending request, no attempt of it
+// begins any more. An attempt that has begun goes on, and the client can get the outcome with a redelivery.
+func (c *connection) OnClose(error) {
+	c.finish()
+	if c.awaited != nil {
+		c.receiver.handleClientGone(c.awaited)
+	}
+}
 
 // finish makes the connection discard all further input.
 func (c *connection) finish() {
--- a/internal/frontend/webhook/deduplication.go
+++ b/internal/frontend/webhook/deduplication.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"net/http"
 	"time"
+
+	"functionrouter/policy"
 )
 
 const (
@@ -28,7 +30,9 @@
 	isOrder   bool      // the request must never run twice, and the ledger records it
 	eventTime time.Time // the retention of an order starts at this time
 
-	waiting []*connection // connections that wait for the outcome while the request is pending
+	waiting   []*connection    // connections that wait for the outcome while the request is pending
+	requestID policy.RequestID // the router's ID of the pending request; 0 before it is submitted
+	answered  bool             // the router has answered the request
 
 	completed   bool          // the request has ended, and the fields below are set
 	completedAt time.Duration // on the event loop's clock; 0 for an order that was restored from the ledger
@@ -56,9 +60,7 @@
 // and handles the HTTP requests that each connection has received in the meantime. The caller must first keep the
 // outcome or remove the delivery, because the next HTTP request on such a connection may have the same webhook-id.
 func (d *delivery) respondToWaiting(r response) {
-	waiting := d.waiting
-	d.waiting = nil
-	for _, c := range waiting {
+	for _, c := range d.takeWaiting() {
 		c.respond(r)
 		c.handleBuffered()
 	}
--- a/internal/frontend/webhook/doc.go
+++ b/internal/frontend/webhook/doc.go
@@ -26,6 +26,12 @@
 //     (responder.go). Each of them then handles the input that it has received in the meantime, so Submit may be called
 //     again before Respond returns.
 //
+// # Clients that have gone
+//
+// The client of a delivery has gone when no connection that waits for its outcome is open. No attempt of the request
+// begins from then on. If none has begun, the request is cancelled, and the Receiver forgets the webhook-id. Otherwise the
+// attempt goes on, and a redelivery gets the outcome.
+//
 // # States of an order
 //
 // The ledger is a write-ahead log on the disk. It records the states begun, ended and released; the last one is stored
@@ -40,8 +46,9 @@
 //     run: redeliveries are answered with 502, and the order never runs again.
 //   - Ended: the outcome is kept, and the "ended" entry is written without a sync. Redeliveries are answered with the
 //     outcome, also after a crash. If the crash loses the entry, the order counts as begun.
-//   - Released: the order provably never ran, and the "freed" entry is written without a sync. The next delivery is a
-//     first delivery, also after a crash. If the crash loses the entry, the order counts as begun.
+//   - Released: the order provably never ran, because it was refused or because its client closed the connection before
+//     an attempt began, and the "freed" entry is written without a sync. The next delivery is a first delivery, also after
+//     a crash. If the crash loses the entry, the order counts as begun.
 //   - Expired: the event of the order is older than the ledger's retention. Receiver.Sweep and the compaction of the
 //     ledger remove the order. A first delivery with an expired or nearly expired event is refused with 400, so that
 //     the order does not run again; see Receiver.isWithinRetention.
--- a/internal/frontend/webhook/harness_test.go
+++ b/internal/frontend/webhook/harness_test.go
@@ -62,8 +62,22 @@
 	}
 }
 
-// fakeRouter records the requests that are submitted to it.
-type fakeRouter struct{ requests []router.Request }
+// fakeRouter records the requests that are submitted to it. The ID of a request is its index in requests plus 1.
+type fakeRouter struct {
+	requests  []router.Request
+	begun     bool // whether attempts of the requests have begun
+	abandoned map[policy.RequestID]bool
+}
+
+func (f *fakeRouter) Abandon(_ time.Duration, id policy.RequestID) (ended bool) {
+	if f.abandoned == nil {
+		f.abandoned = map[policy.RequestID]bool{}
+	}
+	f.abandoned[id] = true
+	return !f.begun
+}
+
+func (f *fakeRouter) Resume(id policy.RequestID) { delete(f.abandoned, id) }
 
 func (f *fakeRouter) Submit(_ time.Duration, r router.Request) policy.RequestID {
 	f.requests = append(f.requests, r)
--- a/internal/frontend/webhook/receiver.go
+++ b/internal/frontend/webhook/receiver.go
@@ -115,10 +115,12 @@
 // Accept returns the handler of a connection that a client has opened. The event loop owns the connection and the
 // handler.
 func (r *Receiver) Accept(c *eventloop.Conn) eventloop.AcceptedHandler {
-	return r.newConnection(c, c.RemoteAddr())
+	connection := r.newConnection(c, c.RemoteAddr())
+	connection.input = c
+	return connection
 }
 
-// newConnection returns the handler of a connection.
+// newConnection returns the handler of a connection, without its input.
 func (r *Receiver) newConnection(transport Transport, clientAddr netip.AddrPort) *connection {
 	return &connection{receiver: r, transport: transport, clientAddr: clientAddr}
 }
@@ -200,7 +202,8 @@
 		c.refuse(errOverloaded)
 	default:
 		r.Counters.Joined++
-		d.waiting = append(d.waiting, c)
+		d.addWaiting(c)
+		r.router.Resume(d.requestID)
 	}
 }
 
@@ -214,7 +217,7 @@
 	}
 	// The delivery must be added first, because the answer may arrive before submit returns, and a redelivery must find
 	// the delivery while the order is being recorded.
-	d.waiting = []*connection{c}
+	d.addWaiting(c)
 	r.deliveries.add(d)
 	if !d.isOrder {
 		r.submit(d, request)
@@ -234,13 +237,40 @@
 		d.respondToWaiting(response{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter})
 		return
 	}
+	if !d.isAwaited() {
+		r.forget(d)
+		return
+	}
 	r.submit(d, request)
 }
 
 // submit passes a delivery's request to the router.
 func (r *Receiver) submit(d *delivery, request router.Request) {
 	request.Responder = &responder{receiver: r, delivery: d}
-	r.router.Submit(r.now(), request)
+	request.Input = d
+	if id := r.router.Submit(r.now(), request); !d.answered {
+		d.requestID = id
+	}
+}
+
+// handleClientGone abandons the request of a pending delivery for whose outcome no connection waits any more. If no
+// attempt of it has begun, the next delivery of the webhook-id is a first delivery.
+func (r *Receiver) handleClientGone(d *delivery) {
+	if d.isAwaited() || d.requestID == 0 { // handleRecorded looks at an order that is being recorded
+		return
+	}
+	if r.router.Abandon(r.now(), d.requestID) {
+		r.forget(d)
+	}
+}
+
+// forget removes a delivery whose request never ran and that nobody waits for. An order is released in the ledger.
+func (r *Receiver) forget(d *delivery) {
+	d.takeWaiting()
+	r.deliveries.remove(d)
+	if d.isOrder {
+		r.ledger.recordEnd(d.ledgerEntry(orderReleased))
+	}
 }
 
 // logRefusal logs why a delivery was refused. It logs at most one line per refusalLogInterval, independent of the
--- a/internal/frontend/webhook/receiver_options.go
+++ b/internal/frontend/webhook/receiver_options.go
@@ -37,8 +37,13 @@
 
 // RequestRouter routes the requests of deliveries. *router.Router implements it.
 type RequestRouter interface {
-	// Submit routes a request and returns its ID. The Receiver ignores the ID, because it never cancels a request. now
-	// is the time on the event loop's clock. The request's Responder receives the final answer once, before Submit
-	// returns or later on the event loop's goroutine. The Responder may call Submit again before it returns.
+	// Submit routes a request and returns its ID. now is the time on the event loop's clock. Unless the request is
+	// cancelled, its Responder receives the final answer once, either before Submit returns, in which case the ID must not
+	// be used, or later on the event loop's goroutine. The Responder may call Submit again before it returns.
 	Submit(now time.Duration, r router.Request) policy.RequestID
+	// Abandon makes no further attempt of a request begin, because nobody waits for its answer. It returns true if it has
+	// cancelled the request, because no attempt has begun.
+	Abandon(now time.Duration, id policy.RequestID) (ended bool)
+	// Resume takes back Abandon.
+	Resume(id policy.RequestID)
 }
--- a/internal/frontend/webhook/receiver_test.go
+++ b/internal/frontend/webhook/receiver_test.go
@@ -1,6 +1,7 @@
 package webhook
 
 import (
+	"bytes"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -159,3 +160,54 @@
 		t.Error("a pending delivery was forgotten, want it kept until it completes")
 	}
 }
+
+// Guards against attempts that begin after the client has closed its connection, as it does when it gives up. A delivery
+// of which no attempt has begun must be forgotten, so that its redelivery runs; one that may have run must be kept.
+func TestRequestOfAClientThatHasGoneIsAbandoned(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		request       []byte
+		whileRecorded bool // the client goes while the ledger records the order
+		begun         bool
+		wantRequests  int // including that of the redelivery
+	}{
+		{"request", signedDelivery(activeSecret, "m", noon, requestPayload("dim-level", "x", noon)), false, false, 2},
+		{"request that may have run", signedDelivery(activeSecret, "m", noon, requestPayload("dim-level", "x", noon)), false, true, 1},
+		{"order", orderDelivery("m"), false, false, 2},
+		{"order that may have run", orderDelivery("m"), false, true, 1},
+		{"order that is being recorded", orderDelivery("m"), true, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			requests := &fakeRouter{begun: test.begun}
+			receiver, loopCalls := newTestReceiver(t, requests, filepath.Join(t.TempDir(), "ledger"))
+			defer closeReceiver(t, receiver)
+			recorded := func() {
+				if bytes.Equal(test.request, orderDelivery("m")) && receiver.deliveries.find("m").requestID == 0 {
+					(<-loopCalls)()
+				}
+			}
+			first := receiver.newConnection(&testsupport.Transport{}, netip.AddrPort{})
+			first.OnData(test.request)
+			if !test.whileRecorded {
+				recorded()
+			}
+			first.OnClose(nil)
+			if test.whileRecorded {
+				recorded()
+			}
+			if known := receiver.deliveries.find("m") != nil; known != test.begun {
+				t.Errorf("the delivery is remembered: %v, want %v", known, test.begun)
+			}
+			redelivery := deliver(receiver, test.request)
+			recorded()
+			if len(requests.requests) != test.wantRequests || len(requests.abandoned) > 0 && test.begun {
+				t.Fatalf("%d requests submitted, want %d; abandoned %v, want none with a redelivery that waits",
+					len(requests.requests), test.wantRequests, requests.abandoned)
+			}
+			requests.requests[test.wantRequests-1].Responder.Respond(router.Response{Status: router.Served})
+			if got := statuses(t, redelivery); !slices.Equal(got, []int{http.StatusOK}) {
+				t.Errorf("statuses of the redelivery %v, want one 200", got)
+			}
+		})
+	}
+}
--- a/internal/frontend/webhook/responder.go
+++ b/internal/frontend/webhook/responder.go
@@ -16,6 +16,7 @@
 // refusal of a request that provably never ran: it is not kept, and the next delivery of the webhook-id is a first
 // delivery.
 func (r *responder) Respond(answer router.Response) {
+	r.delivery.answered = true
 	if answer.Status == router.Refused && !answer.MayHaveRun {
 		r.release(answer)
 		return
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -13,7 +13,7 @@
 	ended  bool
 }
 
-// startAttempt sends a request to a worker. If the request is closed, has reached its deadline or has used up
+// startAttempt sends a request to a worker. If the request is closed or abandoned, has reached its deadline or has used up
 // Limits.MaxAttempts, startAttempt sends nothing and ends the attempt with policy.NotSent. The request is pending, because
 // the table holds every request that the policy knows.
 func (r *Router) startAttempt(action policy.SendAttempt) {
@@ -30,7 +30,7 @@
 	}
 	outOfTime := budget <= 0
 	outOfAttempts := r.limits.MaxAttempts > 0 && id.Number >= r.limits.MaxAttempts
-	if p.closed || outOfTime || outOfAttempts {
+	if p.closed || p.abandoned || outOfTime || outOfAttempts {
 		r.AttemptEnded(id, AttemptResult{Outcome: policy.NotSent})
 		return
 	}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -82,6 +82,31 @@
 	r.tellPolicyOfEnd(id, p)
 }
 
+// Abandon tells the Router that nobody waits for the answer to a request whose outcome its frontend keeps. No further
+// attempt begins. If no attempt has begun, Abandon cancels the request and returns true. Otherwise the request goes on until
+// its attempt has ended, and is answered. Abandon also returns true if the request has already ended.
+func (r *Router) Abandon(now time.Duration, id policy.RequestID) (ended bool) {
+	r.SetNow(now)
+	p := r.requests.findOpen(id)
+	if p == nil {
+		return true
+	}
+	p.abandoned = true
+	r.cancelUnsentAttempts(id, p)
+	if p.mayHaveRun() {
+		return false
+	}
+	r.Cancel(now, id, ClientDisconnected)
+	return true
+}
+
+// Resume takes back Abandon for a request that has not ended, because somebody waits for its answer again.
+func (r *Router) Resume(id policy.RequestID) {
+	if p := r.requests.findOpen(id); p != nil {
+		p.abandoned = false
+	}
+}
+
 // tellPolicyOfEnd queues the end of a request that the policy has not ended itself. If the policy has not got the arrival
 // of the request, it takes back the arrival instead.
 func (r *Router) tellPolicyOfEnd(id policy.RequestID, p *pendingRequest) {
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -11,6 +11,7 @@
 	openAttempts           int       // number of attempts that have not ended
 	endedAttemptMayHaveRun bool      // true if an attempt ended and its outcome does not prove that it never ran
 	closed                 bool      // the request was answered, or cancelled by the client
+	abandoned              bool      // see Abandon
 	arrival                eventPosition
 	known                  bool // the policy has got the arrival of the request
 	done                   bool // the request is closed, and all its attempts have ended; see requestTable
--- a/internal/router/withdrawn_test.go
+++ b/internal/router/withdrawn_test.go
@@ -99,3 +99,60 @@
 		t.Errorf("attempts %v were sent, want one, for request %d", workers.sent, kept)
 	}
 }
+
+// Guards against attempts that begin after their client has gone, where the frontend keeps the outcome of a request for a
+// client that comes back: an abandoned request must begin no attempt, and an attempt that has begun must go on.
+func TestAbandonedRequestBeginsNoAttempt(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		begun   bool // an attempt has begun, and ends without a proof that it ran after the request is abandoned
+		held    bool // an attempt waits for the client's input
+		resumed bool
+		want    int // attempts that begin
+	}{
+		{"before the policy has got it", false, false, false, 0},
+		{"while an attempt waits", false, true, false, 0},
+		{"after an attempt has begun", true, false, false, 1},
+		{"resumed", true, false, true, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, workers := newTestRouter(t, 1)
+			workers.deferSends = true
+			addReadyWorkers(r, 2)
+			responder := &recordingResponder{}
+			input := &fakeInput{onCatchUp: func(*fakeInput) {}}
+			if test.held {
+				input.unseenFor = time.Second
+			}
+			id := r.Submit(testStart, Request{
+				Responder: responder, Input: input, Class: idempotentClass, Function: 7,
+				Deadline: testStart + testClasses[idempotentClass].Deadline,
+			})
+			if test.begun || test.held {
+				r.Process(testStart)
+			}
+			if ended := r.Abandon(testStart, id); ended == test.begun {
+				t.Errorf("Abandon has ended the request: %v, want %v", ended, !test.begun)
+			}
+			if test.resumed {
+				r.Resume(id)
+			}
+			input.unseenFor = 0
+			if test.begun {
+				first := workers.sent[id][0]
+				delete(workers.openAttempts, first)
+				r.AttemptEnded(first, AttemptResult{Outcome: policy.Unreachable})
+			}
+			r.Process(testStart)
+			if got := len(workers.sent[id]); got != test.want {
+				t.Errorf("%d attempts have begun, want %d", got, test.want)
+			}
+			if test.begun && !test.resumed && responder.singleResponse(t).Status != Refused {
+				t.Errorf("the answer is %+v, want a refusal, because no attempt ran", responder.singleResponse(t))
+			}
+			if !test.resumed && r.State().PendingRequests != 0 {
+				t.Errorf("%d requests are pending, want none", r.State().PendingRequests)
+			}
+		})
+	}
+}
