Keep usual calls from waiting for the input of clients that send without a pause

Cause: attempts were sent only after the input of all clients had been read, up to 1 MiB, so that the usual ones, which had been read first, counted as unseen again. The limit also kept a client from being looked at that has no known input. And an attempt whose client is never read to the end waited until its deadline, while the policy counted it as in flight.

Change: each client's attempts are sent as soon as its input has been read, those of clients that send least first. Input of which nothing is known is read beyond the limit, which is now 640 KiB of all clients in a turn.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -44,7 +44,6 @@
 
 	now             time.Duration // time of the present turn
 	inputTime       time.Duration // see InputTime
-	turn            uint64        // number of the present turn
 	polledAt        time.Duration // the last poll that has reported all descriptors with events
 	previousPoll    time.Duration // the same before the present turn
 	catchUpBytes    int           // bytes that Conn.CatchUp has read in this turn
@@ -168,7 +167,6 @@
 // recordPoll records the poll with which the present turn begins. complete means that it has reported all descriptors
 // with events.
 func (l *Loop) recordPoll(complete bool) {
-	l.turn++
 	l.catchUpBytes = 0
 	l.previousPoll = l.polledAt
 	if complete {
--- a/internal/eventloop/unseen.go
+++ b/internal/eventloop/unseen.go
@@ -12,13 +12,10 @@
 	// time, so that they need no further system calls.
 	recentPollAge = 10 * time.Millisecond
 
-	// catchUpLimit is how many bytes CatchUp reads of one connection in one turn at most: 32 open calls of 16 KiB with
-	// their fields and their withdrawals, which is all that a usual client has on its way.
+	// catchUpLimit is how many bytes CatchUp reads in one turn, so that clients that send at full speed do not make the
+	// turn long: 32 open calls of 16 KiB with their fields and their withdrawals, which is all that a usual client has on
+	// its way.
 	catchUpLimit = 640 << 10
-
-	// turnCatchUpLimit is how many bytes CatchUp reads of all connections in one turn at most, so that clients that send
-	// at full speed do not make the turn long.
-	turnCatchUpLimit = 1 << 20
 )
 
 // inputProgress tells how far the input of an accepted connection has been read.
@@ -30,9 +27,6 @@
 	// arrivedSince is the earliest time at which the input that the last read has left may have arrived; 0 if none is
 	// left. Unlike seenUntil it may be up to processPauseThreshold too late, because it counts against a request's time.
 	arrivedSince time.Duration
-
-	catchUpTurn  uint64 // the turn of the last CatchUp
-	catchUpBytes int    // number of bytes that CatchUp has read in that turn
 }
 
 // recordRead records a read that began at start. If it has left input, previousPoll is when the poller last reported that
@@ -73,34 +67,26 @@
 	return float64(c.progress.bytes) / open.Seconds()
 }
 
-// CatchUp reads what has arrived on an accepted connection, within the limits of a turn. It calls the connection's
+// CatchUp reads what has arrived on an accepted connection, within the limit of a turn. Beyond the limit it still reads a
+// part of a connection of which no unread input is known, because that is little as a rule. CatchUp calls the connection's
 // handler, so no handler may call it.
 func (c *Conn) CatchUp() {
-	if !c.state.wantsInput() || c.writeError != nil || !c.mayCatchUp() {
+	l := c.loop
+	limitReached := func() bool { return l.catchUpBytes >= catchUpLimit }
+	if !c.state.wantsInput() || c.writeError != nil || c.progress.unread && limitReached() {
 		return
 	}
-	l := c.loop
 	c.readClient(l.clock.now(), l.polledAt, func() (drained bool) {
 		for range maxReadsAtEnd {
-			result, n := c.readOnce(l.readBuffer)
-			c.progress.catchUpBytes += n
+			result, n := c.readOnce(l.readBuffer[:clientReadSize])
 			l.catchUpBytes += n
 			if result != readData {
 				return result.drained()
 			}
-			if !c.mayCatchUp() {
+			if n == clientReadSize && limitReached() {
 				return false
 			}
 		}
 		return false
 	})
 }
-
-// mayCatchUp reports whether the limits of the present turn allow CatchUp to read.
-func (c *Conn) mayCatchUp() bool {
-	if c.progress.catchUpTurn != c.loop.turn {
-		c.progress.catchUpTurn = c.loop.turn
-		c.progress.catchUpBytes = 0
-	}
-	return c.progress.catchUpBytes < catchUpLimit && c.loop.catchUpBytes < turnCatchUpLimit
-}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -10,6 +10,7 @@
 type attempt struct {
 	worker policy.WorkerID
 	sentAt time.Duration
+	heldAt time.Duration // when the attempt first waited for the client's input; 0 if it has not
 	ended  bool
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,8 +67,7 @@
 	timers   timerQueue
 	requests requestTable
 	controls controlTable
-	sendable []AttemptID // see sendAttempts; the slices are reused
-	unseen   []Input
+	sendable []AttemptID // see sendAttempts; the slice is reused
 	// noResultLog logs requests that ended without a result.
 	noResultLog noResultLog
 	// latestDeadline is an upper bound for the deadlines of all requests; 0 means no bound. See BeginShutdown.
@@ -108,14 +107,18 @@
 
 // Process fires the due timers, gives the queued events to the policy and executes the actions that the policy returns.
 // It then sends the attempts that may begin, for which it reads input of their clients (see sendAttempts). It repeats
-// this until no timer is due and no event is queued, and then removes the requests that are done. It returns the time by
-// which it must be called again, which is now if attempts wait for the input of their clients.
+// this until no timer is due and no event is queued, at most maxSendRounds times, and then removes the requests that are
+// done. It returns the time by which it must be called again, which is now if attempts wait to be sent.
 func (r *Router) Process(now time.Duration) (next time.Duration) {
 	r.SetNow(now)
 	r.decide()
 	held := r.sendAttempts()
-	for !r.events.empty() { // input that sendAttempts has read
+	for round := 1; !r.events.empty(); round++ { // input that sendAttempts has read
 		r.decide()
+		if round == maxSendRounds {
+			held = len(r.workers.SendableAttempts(r.sendable[:0])) > 0 // they wait for the next turn
+			break
+		}
 		held = r.sendAttempts()
 	}
 	r.requests.removeDone()
--- a/internal/router/send_test.go
+++ b/internal/router/send_test.go
@@ -86,6 +86,34 @@
 	}
 }
 
+// Guards against requests that wait until their deadline, and against workers that seem busy meanwhile, because a client
+// sends so much that its input is never read to the end: such a request is refused, as it never ran.
+func TestAttemptOfAClientThatSendsWithoutPauseIsGivenUp(t *testing.T) {
+	r, workers := newTestRouter(t, 1)
+	workers.deferSends = true
+	addReadyWorkers(r, 2)
+	responder := &recordingResponder{}
+	r.Submit(testStart, Request{
+		Responder: responder, Input: &fakeInput{unseenFor: time.Second, onCatchUp: func(*fakeInput) {}},
+		Class: notIdempotentClass, Function: 7, Deadline: testStart + testClasses[notIdempotentClass].Deadline,
+	})
+	const step = 50 * ms
+	now := testStart
+	for ; !policy.GiveUpWaiting(now - testStart); now += step {
+		r.Process(now)
+		if len(responder.responses) > 0 {
+			t.Fatalf("the request was answered after %v: %+v", now-testStart, responder.responses)
+		}
+	}
+	r.Process(now)
+	if got := responder.singleResponse(t); got.Status != Refused || got.MayHaveRun || len(workers.sent) != 0 {
+		t.Errorf("the answer is %+v, and attempts %v have begun; want a refusal of a request that never ran", got, workers.sent)
+	}
+	if got := r.State(); got.Policy.AttemptsInFlight != 0 {
+		t.Errorf("%d attempts are in flight, want none", got.Policy.AttemptsInFlight)
+	}
+}
+
 // Guards against usual calls that wait behind clients at full speed: the limits of a turn go to clients that send least.
 func TestUnreadInputOfSlowestClientIsReadFirst(t *testing.T) {
 	r, _ := newTestRouter(t, 1)
