Do not move attempts that wait for a worker that takes nothing

Change: such attempts wait unwritten until they are withdrawn or their time ends, as they did before, written.

--- a/internal/backend/call.go
+++ b/internal/backend/call.go
@@ -48,7 +48,6 @@
 	budgetEnd time.Duration // when the budget is spent; an attempt that is still queued then is not sent
 
 	connection *connection   // the connection that carries the call; nil before connection.send
-	queuedAt   time.Duration // when an attempt was queued on the connection
 	sentAt     time.Duration // when the call was written
 	endOffset  int           // number of bytes written on the connection up to the end of the call
 	resends    int           // number of times the call was moved to another connection because its connection ended
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -42,7 +42,6 @@
 // succeeds. The caller must have checked with Pool.preferenceFor that c may carry call.
 func (c *connection) send(call *pendingCall) {
 	call.connection = c
-	call.queuedAt = c.pool.now
 	c.pending[call.wireID] = call
 	if call.kind == attemptCall {
 		c.pendingAttempts++
--- a/internal/backend/delivery.go
+++ b/internal/backend/delivery.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"functionrouter/policy"
 )
 
 // deliveryGrace is how long after its withdrawal a written attempt may reach the worker. It leaves time for the worker's
@@ -64,20 +62,3 @@
 		c.withdrawn = nil
 	}
 }
-
-// moveStalledAttempts moves attempts that have waited on c for longer than a dial may take, because the worker does not
-// take what was written, to another connection, or ends them as Unreachable.
-func (c *connection) moveStalledAttempts() {
-	if c.pool.cfg.DialTimeout == 0 || c.transport.Unsent() == 0 { // 0: no limit
-		return
-	}
-	for _, call := range slices.Clone(c.queued) {
-		if c.pool.now-call.queuedAt <= c.pool.cfg.DialTimeout {
-			continue
-		}
-		c.dequeue(call)
-		if !c.resendUnsent(call) {
-			c.pool.endUnanswered(call, policy.Unreachable)
-		}
-	}
-}
--- a/internal/backend/sweep.go
+++ b/internal/backend/sweep.go
@@ -31,13 +31,10 @@
 	}
 }
 
-// sweepConnection does the periodic work for one connection. After the rotation of recentIDs and the move of stalled
-// attempts, only the first case that applies is executed.
+// sweepConnection does the periodic work for one connection. After the rotation of recentIDs, only the first case that
+// applies is executed.
 func (p *Pool) sweepConnection(c *connection) {
 	c.recentIDs.rotate(p.now, p.cfg.RecentIDLifetime)
-	if c.state != stateConnecting {
-		c.moveStalledAttempts()
-	}
 	switch {
 	case c.state == stateConnecting: // the dial has a timeout of its own
 	case c.state == stateReady && c.recentIDs.full():
