--- a/internal/backend/delivery.go
+++ b/internal/backend/delivery.go
@@ -14,14 +14,14 @@
 // errUndelivered means that a connection is closed because the worker has not taken an attempt that was withdrawn.
 var errUndelivered = errors.New("worker has not taken the bytes of an attempt that was withdrawn")
 
-// withdrawnAttempt is an attempt that is no longer wanted although it was written. Unless the worker's machine has got it,
-// the attempt must not reach the worker later.
+// withdrawnAttempt is a written attempt that was cancelled. Unless the worker's machine has already received it, it must
+// not reach the worker later.
 type withdrawnAttempt struct {
 	endOffset int           // number of bytes written on the connection up to the end of the attempt
 	checkAt   time.Duration // when the worker must have got them
 }
 
-// watchDelivery notes that a written attempt is no longer wanted.
+// watchDelivery records that a written attempt was cancelled.
 func (c *connection) watchDelivery(call *pendingCall) {
 	if call.withdrawn || call.endOffset <= c.deliveredBytes || c.state == stateClosed {
 		return
--- a/internal/eventloop/undelivered_test.go
+++ b/internal/eventloop/undelivered_test.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Guards against bytes that a peer gets long after they are no longer wanted: while a peer does not read, the kernel must
-// take a bounded part of what is written, and Close must drop it.
+// Guards against bytes that a peer receives long after the connection was closed: while a peer does not read, the kernel
+// must take a bounded part of what is written, and Close must drop it.
 func TestBytesThatThePeerDoesNotTakeAreDropped(t *testing.T) {
 	m := newManualLoop(t)
 	h := &dialedHandler{opened: make(chan error, 1)}
--- a/internal/router/workerpool.go
+++ b/internal/router/workerpool.go
@@ -26,8 +26,8 @@
 	// SendableAttempts appends the attempts that have not been sent and could be sent now to ids, in the order of
 	// StartAttempt.
 	SendableAttempts(ids []AttemptID) []AttemptID
-	// SendAttempt sends an attempt that SendableAttempts has returned. If it can no longer be sent now, the attempt goes
-	// on waiting.
+	// SendAttempt sends an attempt that SendableAttempts has returned. If the attempt can't be sent at present, it
+	// continues to wait.
 	SendAttempt(id AttemptID)
 	// CancelUnsent cancels an attempt of which no byte has been sent. It returns false and does nothing if the attempt
 	// has ended or any byte of it may have been sent.
