Refuse an order whose timestamp the ledger can't store

A signed order with the offset +24:00 in its timestamp ends the process with a panic of the ledger's writer; calls that are open lose their connections.

Cause: encoding/json decodes offsets that RFC 3339 does not allow and does not encode them. The payload's parser kept the time, and encodeEntry panics if an entry can't be encoded.

Change: the parser refuses a timestamp that can't be encoded, with 400, before anything runs.

--- a/internal/frontend/webhook/ledger_entry.go
+++ b/internal/frontend/webhook/ledger_entry.go
@@ -47,7 +47,7 @@
 func encodeEntry(e ledgerEntry) []byte {
 	text, err := json.Marshal(e)
 	if err != nil {
-		panic(err) // json.Marshal can't fail for strings, numbers, bytes and a time that was parsed from JSON
+		panic(err) // json.Marshal can't fail for strings, numbers, bytes and a time that isStorable accepts
 	}
 	return fmt.Appendf(nil, "%08x %s\n", crc32.ChecksumIEEE(text), text)
 }
--- a/internal/frontend/webhook/payload.go
+++ b/internal/frontend/webhook/payload.go
@@ -28,6 +28,7 @@
 	errRequestBodyTooLarge = errors.New("body is too long")
 	errMalformedKey        = errors.New("key is not 16 hex digits in lower case")
 	errValueOutOfRange     = errors.New("wait_ms, memory_mb, lanes or load_ms is out of range")
+	errTimestampOutOfRange = errors.New("timestamp's year is not within 0 to 9999, or its offset is not within 23:59")
 	errOutsideRetention    = errors.New("the order's timestamp is outside the ledger's retention")
 )
 
@@ -84,6 +85,9 @@
 			p.Data.WaitMs, fieldvalue.MaxWaitMs, p.Data.MemoryMB, fieldvalue.MaxMemoryMB,
 			p.Data.Concurrency, fieldvalue.MaxConcurrency, p.Data.LoadMs, fieldvalue.MaxLoadMs)
 	}
+	if !isStorable(p.Timestamp) {
+		return deliveredRequest{}, errTimestampOutOfRange
+	}
 	isOrder := r.classes[class].CarriesOrders
 	if isOrder && !r.isWithinRetention(p.Timestamp) {
 		return deliveredRequest{}, fmt.Errorf("%w: %v", errOutsideRetention, p.Timestamp)
@@ -104,6 +108,13 @@
 	return deliveredRequest{request: request, eventTime: p.Timestamp, isOrder: isOrder}, nil
 }
 
+// isStorable reports whether the ledger can store an event time. The JSON decoder accepts offsets that RFC 3339 does not
+// allow, such as 24 hours, and the encoder does not.
+func isStorable(eventTime time.Time) bool {
+	_, err := eventTime.MarshalJSON()
+	return err == nil
+}
+
 // isInRange reports whether every numeric field is within the bounds of package fieldvalue.
 func (d *callData) isInRange() bool {
 	waitInRange := fieldvalue.InRange(d.WaitMs, fieldvalue.MaxWaitMs)
