Read a webhook-id back from the ledger as it was written

An order whose webhook-id is not UTF-8 is sent to a worker again when it is delivered again after a kill of the router.

Cause: the ledger's entries are JSON, and encoding/json replaces such bytes, so that the id that is read back is another one than the client's.

Evidence: TestOrderInFlightAtACrashIsNotRunAgain with two such ids fails on the code of before.

Change: an id that is not UTF-8 is stored as bytes too. All other entries keep their form byte for byte. FuzzLedgerID checks it for all strings.

--- a/internal/frontend/webhook/fuzz_test.go
+++ b/internal/frontend/webhook/fuzz_test.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// FuzzLedgerID checks that every webhook-id is read back from the ledger as it was written.
+func FuzzLedgerID(f *testing.F) {
+	for _, id := range []string{"m", "", "order-S\xf8borg-18", "\xff\xfe", "\ufffd", "\x00\x7f<&>\u2028\"\\"} {
+		f.Add(id)
+	}
+	f.Fuzz(func(t *testing.T, id string) {
+		read, err := decodeEntry(encodeEntry(ledgerEntry{ID: id, EventTime: noon, State: orderBegun}))
+		if err != nil || read.ID != id {
+			t.Errorf("wrote the id %q, read %q and error %v", id, read.ID, err)
+		}
+	})
+}
+
 // FuzzPayload checks that whatever the parser of payloads accepts can be written to the ledger and read back equal.
 func FuzzPayload(f *testing.F) {
 	f.Add(string(requestPayload("repair-order", "x", noon)))
--- a/internal/frontend/webhook/ledger_entry.go
+++ b/internal/frontend/webhook/ledger_entry.go
@@ -10,6 +10,7 @@
 	"hash/crc32"
 	"io"
 	"time"
+	"unicode/utf8"
 )
 
 // orderState is the state of an order in the ledger. Its values are stored, so they must not change.
@@ -25,7 +26,7 @@
 // ledgerEntry is the ledger's record of an order in one state. The JSON names of the fields are stored, so they must
 // not change.
 type ledgerEntry struct {
-	ID        string     `json:"id"`  // the delivery's webhook-id
+	ID        string     `json:"id"`  // the delivery's webhook-id, which may be any bytes; see storedEntry
 	EventTime time.Time  `json:"at"`  // time of the order's event on the clock of its sender
 	Digest    string     `json:"sum"` // digest of the payload; see payloadDigest
 	State     orderState `json:"state"`
@@ -33,6 +34,13 @@
 	Body      []byte     `json:"body,omitempty"`   // body of the response
 }
 
+// storedEntry is the form of an entry in the file. encoding/json replaces bytes that are not UTF-8, and a webhook-id that
+// was read back would differ from the client's: such an id is stored as bytes too.
+type storedEntry struct {
+	ledgerEntry
+	IDBytes []byte `json:"id_bytes,omitempty"` // the webhook-id, if it is not UTF-8; base64 in the JSON
+}
+
 // The format of a line: the CRC-32 (IEEE) of the JSON text in 8 hex digits, a space, the JSON text and a line feed.
 const (
 	checksumDigits = 8
@@ -45,7 +53,11 @@
 
 // encodeEntry returns the line of an entry, including its line feed.
 func encodeEntry(e ledgerEntry) []byte {
-	text, err := json.Marshal(e)
+	stored := storedEntry{ledgerEntry: e}
+	if !utf8.ValidString(e.ID) {
+		stored.IDBytes = []byte(e.ID)
+	}
+	text, err := json.Marshal(stored)
 	if err != nil {
 		panic(err) // json.Marshal can't fail for strings, numbers, bytes and a time that isStorable accepts
 	}
@@ -65,10 +77,14 @@
 	if binary.BigEndian.Uint32(checksum[:]) != crc32.ChecksumIEEE(text) {
 		return e, fmt.Errorf("%w: checksum %x, but the text has %08x", errLedgerDamaged, checksum, crc32.ChecksumIEEE(text))
 	}
-	if err := json.Unmarshal(text, &e); err != nil {
+	var stored storedEntry
+	if err := json.Unmarshal(text, &stored); err != nil {
 		return e, fmt.Errorf("%w: %w", errLedgerDamaged, err)
 	}
-	return e, nil
+	if len(stored.IDBytes) > 0 {
+		stored.ID = string(stored.IDBytes)
+	}
+	return stored.ledgerEntry, nil
 }
 
 // readEntries calls visit for the entry of each line. It ignores an incomplete last line, which was never synced. The
--- a/internal/frontend/webhook/receiver_test.go
+++ b/internal/frontend/webhook/receiver_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -77,9 +78,19 @@
 
 // Guards against a second run of an order after a crash: an order that was in flight may have run, so its redelivery is
 // answered with 502 and is not submitted to the router.
+//
+// The webhook-id may be any bytes. One that is not UTF-8 was written to the ledger in another form, so that its redelivery
+// ran the order a second time.
 func TestOrderInFlightAtACrashIsNotRunAgain(t *testing.T) {
+	for _, id := range []string{"m", "order-S\xf8borg-18", "\xff", "\ufffd"} {
+		t.Run(strconv.Quote(id), func(t *testing.T) { testOrderInFlightAtACrash(t, id) })
+	}
+}
+
+func testOrderInFlightAtACrash(t *testing.T, id string) {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "ledger")
-	request := orderDelivery("m")
+	request := orderDelivery(id)
 
 	t.Run("before the crash", func(t *testing.T) {
 		requests := &fakeRouter{}
