--- a/cmd/functionrouter/withdrawn_test.go
+++ b/cmd/functionrouter/withdrawn_test.go
@@ -60,7 +60,7 @@
 	return line
 }
 
-// Guards against attempts that begin long after their client has gone: calls and, behind them, their withdrawal arrive
+// Guards against attempts that begin long after their calls were withdrawn: calls and, behind them, their withdrawal arrive
 // while the machine pauses the process. A turn reads a part of the input, so that the calls were sent to a worker in the
 // turns before the withdrawal was read.
 func TestCallsWithdrawnInUnreadInputAreNotSent(t *testing.T) {
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -33,7 +33,7 @@
 	readData    readResult = iota // data was read, or a signal interrupted the read; there may be more
 	readDrained                   // nothing is left
 	readFailed                    // the kernel lacks memory; there may be more
-	readEnded                     // the input has ended or the connection is no longer read
+	readEnded                     // the input has ended, or the connection has stopped reading
 )
 
 // drained reports whether the result shows that all input that had arrived has been read.
--- a/internal/eventloop/undelivered_test.go
+++ b/internal/eventloop/undelivered_test.go
@@ -13,14 +13,7 @@
 // Guards against bytes that a peer receives long after the connection was closed: while a peer does not read, the kernel
 // must take a bounded part of what is written, and Close must drop it.
 func TestBytesThatThePeerDoesNotTakeAreDropped(t *testing.T) {
-	m := newManualLoop(t)
-	h := &dialedHandler{opened: make(chan error, 1)}
-	m.startDial(h)
-	for len(h.opened) == 0 {
-		m.runTurn()
-	}
-	h.conn = m.conn
-	requireNoError(t, <-h.opened)
+	m := newDialedLoop(t)
 	written := 0
 	for m.conn.Unsent() == 0 {
 		const call = 16 << 10
@@ -44,15 +37,25 @@
 }
 
 // dialedHandler handles a dialed connection whose peer sends nothing.
-type dialedHandler struct {
-	conn   *Conn
-	opened chan error
-}
+type dialedHandler struct{ opened chan error }
 
 func (h *dialedHandler) OnOpen(err error) { h.opened <- err }
 func (h *dialedHandler) OnData([]byte)    {}
 func (h *dialedHandler) OnClose(error)    {}
 
+// newDialedLoop returns a manual loop whose connection under test was dialed and is open.
+func newDialedLoop(t *testing.T) *manualLoop {
+	t.Helper()
+	m := newManualLoop(t)
+	h := &dialedHandler{opened: make(chan error, 1)}
+	m.startDial(h)
+	for len(h.opened) == 0 {
+		m.runTurn()
+	}
+	requireNoError(t, <-h.opened)
+	return m
+}
+
 // unreadBytes returns how many bytes have arrived on conn that have not been read.
 func unreadBytes(t *testing.T, conn net.Conn) int {
 	t.Helper()
@@ -67,13 +70,7 @@
 
 // Guards against a reset of connections whose peer has got everything: their close must be a usual one.
 func TestCloseAfterDeliveryIsNoReset(t *testing.T) {
-	m := newManualLoop(t)
-	h := &dialedHandler{opened: make(chan error, 1)}
-	m.startDial(h)
-	for len(h.opened) == 0 {
-		m.runTurn()
-	}
-	requireNoError(t, <-h.opened)
+	m := newDialedLoop(t)
 	m.conn.Write([]byte("call"))
 	m.flush()
 	for m.conn.Undelivered() > 0 {
--- a/internal/eventloop/unread.go
+++ b/internal/eventloop/unread.go
@@ -55,10 +55,7 @@
 func (l *Loop) UnreadBytes() int {
 	sum := 0
 	for c := range l.accepted {
-		sum += len(c.unsent)
-		for _, b := range c.pending {
-			sum += len(b)
-		}
+		sum += c.pendingBytes + len(c.unsent)
 	}
 	return sum
 }
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -21,9 +21,10 @@
 )
 
 // Write queues buffers until the end of the turn, or until there are maxPendingBuffers or, on a dialed connection,
-// maxPendingBytes; the caller must not change them before that. The buffers are dropped if the connection is closed or not connected yet, if an earlier write has failed,
-// and after CloseAfterFlush. Write must not be called before OnOpen (see Loop.Dial). A peer that leaves too many bytes
-// unread is disconnected: the handler's OnClose gets the error in a later turn.
+// maxPendingBytes; the caller must not change them before that. The buffers are dropped if the connection is closed or not
+// connected yet, if an earlier write has failed, and after CloseAfterFlush. Write must not be called before OnOpen (see
+// Loop.Dial). A peer that leaves too many bytes unread is disconnected: the handler's OnClose gets the error in a later
+// turn.
 func (c *Conn) Write(bufs ...[]byte) {
 	if !c.state.acceptsWrites() || c.writeError != nil {
 		return
--- a/internal/frontend/webhook/doc.go
+++ b/internal/frontend/webhook/doc.go
@@ -26,9 +26,9 @@
 //     (responder.go). Each of them then handles the input that it has received in the meantime, so Submit may be called
 //     again before Respond returns.
 //
-// # Clients that have gone
+// # Disconnected clients
 //
-// The client of a delivery has gone when no connection that waits for its outcome is open. No attempt of the request
+// The client of a delivery has disconnected when no connection that waits for its outcome is open. No attempt of the request
 // begins from then on. If none has begun, the request is cancelled, and the Receiver forgets the webhook-id. Otherwise the
 // attempt goes on, and a redelivery gets the outcome.
 //
--- a/internal/frontend/webhook/receiver.go
+++ b/internal/frontend/webhook/receiver.go
@@ -264,7 +264,7 @@
 	}
 }
 
-// forget removes a delivery whose request never ran and whose client has gone. An order is released in the ledger.
+// forget removes a delivery whose request never ran and whose client has disconnected. An order is released in the ledger.
 func (r *Receiver) forget(d *delivery) {
 	d.takeWaiting()
 	r.deliveries.remove(d)
--- a/internal/frontend/webhook/receiver_options.go
+++ b/internal/frontend/webhook/receiver_options.go
@@ -41,8 +41,8 @@
 	// cancelled, its Responder receives the final answer once, either before Submit returns, in which case the ID must not
 	// be used, or later on the event loop's goroutine. The Responder may call Submit again before it returns.
 	Submit(now time.Duration, r router.Request) policy.RequestID
-	// Abandon prevents further attempts of a request whose client has gone. It returns true if it has cancelled the
-	// request, because no attempt has begun.
+	// Abandon prevents further attempts of a request whose client has disconnected. It returns true if it has cancelled
+	// the request, because no attempt has begun.
 	Abandon(now time.Duration, id policy.RequestID) (ended bool)
 	// Resume takes back Abandon.
 	Resume(id policy.RequestID)
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -82,8 +82,8 @@
 	r.tellPolicyOfEnd(id, p)
 }
 
-// Abandon tells the Router that the client of a request whose outcome its frontend keeps has gone. No further attempt
-// begins. If no attempt has begun, Abandon cancels the request and returns true. Otherwise the request goes on until
+// Abandon tells the Router that the client of a request whose outcome its frontend keeps has disconnected. No further
+// attempt begins. If no attempt has begun, Abandon cancels the request and returns true. Otherwise the request goes on until
 // its attempt has ended, and is answered. Abandon also returns true if the request has already ended.
 func (r *Router) Abandon(now time.Duration, id policy.RequestID) (ended bool) {
 	r.SetNow(now)
@@ -100,7 +100,7 @@
 	return true
 }
 
-// Resume takes back Abandon for a request that has not ended, because its client has come back.
+// Resume takes back Abandon for a request that has not ended, because its client has connected again.
 func (r *Router) Resume(id policy.RequestID) {
 	if p := r.requests.findOpen(id); p != nil {
 		p.abandoned = false
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -111,15 +111,17 @@
 // done. It returns the time by which it must be called again, which is now if attempts wait to be sent.
 func (r *Router) Process(now time.Duration) (next time.Duration) {
 	r.SetNow(now)
-	r.decide()
-	held := r.sendAttempts()
-	for round := 1; !r.events.empty(); round++ { // input that sendAttempts has read
+	var held bool
+	for round := 0; ; round++ {
 		r.decide()
 		if round == maxSendRounds {
 			held = len(r.workers.SendableAttempts(r.sendable[:0])) > 0 // they wait for the next turn
 			break
 		}
 		held = r.sendAttempts()
+		if r.events.empty() { // otherwise sendAttempts has read input
+			break
+		}
 	}
 	r.requests.removeDone()
 	r.timers.prune(r.isNeeded)
--- a/internal/router/send_test.go
+++ b/internal/router/send_test.go
@@ -27,24 +27,25 @@
 	})
 }
 
-// Guards against attempts that begin long after their client has gone: input that withdraws the request has arrived, and
+// endFirstAttempt sends the first attempt of a request and ends it with this outcome.
+func endFirstAttempt(r *Router, workers *fakeWorkerPool, id policy.RequestID, outcome policy.Outcome) {
+	r.Process(testStart)
+	first := workers.sent[id][0]
+	delete(workers.openAttempts, first)
+	r.AttemptEnded(first, AttemptResult{Outcome: outcome})
+}
+
+// Guards against attempts that begin long after their request was withdrawn: input that withdraws it has arrived, and
 // waits unread behind other input while the router acts on the request, on the end of an earlier attempt or on a load.
 func TestNoAttemptBeginsBehindUnreadInput(t *testing.T) {
 	for name, prepare := range map[string]func(t *testing.T, r *Router, workers *fakeWorkerPool, id policy.RequestID){
 		"first attempt": func(*testing.T, *Router, *fakeWorkerPool, policy.RequestID) {},
-		"repeat": func(t *testing.T, r *Router, workers *fakeWorkerPool, id policy.RequestID) {
-			t.Helper()
-			r.Process(testStart)
-			first := workers.sent[id][0]
-			delete(workers.openAttempts, first)
-			r.AttemptEnded(first, AttemptResult{Outcome: policy.Unreachable})
+		"repeat": func(_ *testing.T, r *Router, workers *fakeWorkerPool, id policy.RequestID) {
+			endFirstAttempt(r, workers, id, policy.Unreachable)
 		},
 		"after a load": func(t *testing.T, r *Router, workers *fakeWorkerPool, id policy.RequestID) {
 			t.Helper()
-			r.Process(testStart)
-			first := workers.sent[id][0]
-			delete(workers.openAttempts, first)
-			r.AttemptEnded(first, AttemptResult{Outcome: policy.FunctionNotLoaded})
+			endFirstAttempt(r, workers, id, policy.FunctionNotLoaded)
 			r.Process(testStart)
 			if len(workers.loadCommands) == 0 {
 				t.Fatal("no load command was sent")
--- a/internal/router/withdrawn_test.go
+++ b/internal/router/withdrawn_test.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// Guards against attempts that begin after their client has gone, where the frontend keeps the outcome of a request for a
+// Guards against attempts that begin after their client has disconnected, where the frontend keeps the outcome of a request for a
 // client that comes back: an abandoned request must begin no attempt, and an attempt that has begun must go on.
 func TestAbandonedRequestBeginsNoAttempt(t *testing.T) {
 	for _, test := range []struct {
