Keep a timed-out connection open while its input can't be read

Before, an idle connection with unread input was kept. A request may be in what is left.

TestConnectionThatCannotBeReadIsNotTimedOut fails without the check. Not seen in service.

--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -39,6 +39,9 @@
 // drained reports whether the result shows that all input that had arrived has been read.
 func (r readResult) drained() bool { return r == readDrained || r == readEnded }
 
+// readsInput reports whether input of an open connection is read, now or in a later turn.
+func (c *Conn) readsInput() bool { return c.state.wantsInput() && c.writeError == nil }
+
 // readSome reads a part of the data that has arrived. The poller is level-triggered and reports the rest in the next
 // turn.
 func (c *Conn) readSome() {
--- a/internal/eventloop/sweep.go
+++ b/internal/eventloop/sweep.go
@@ -28,9 +28,12 @@
 // been read, and the rest of a message may have arrived since then, while the machine paused the process or behind other
 // input.
 func (c *Conn) closeTimedOut() {
-	if c.state.wantsInput() && c.writeError == nil {
+	if c.readsInput() {
 		c.readToEnd()
 		c.loop.deferCall(func() {}) // the next turn handles at once what has been read
+		if c.progress.unread {
+			return // a request may be in the input that is left
+		}
 	}
 	if cause, timedOut := c.timedOut(); timedOut {
 		c.closeWithCause(cause)
--- a/internal/eventloop/sweep_test.go
+++ b/internal/eventloop/sweep_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Guards the timeouts of accepted connections. Only complete messages extend the time that a client has for its
@@ -101,3 +103,23 @@
 			h.received, h.length, len(m.deferred))
 	}
 }
+
+// Guards against the same loss when the rest of the message can't be read at once, because the kernel lacks memory.
+func TestConnectionThatCannotBeReadIsNotTimedOut(t *testing.T) {
+	m := newManualLoop(t)
+	h := &lengthHandler{length: 2}
+	m.accept(h)
+	h.conn = m.conn
+	m.peerSends("x", false)
+	m.runTurn()
+	m.now += messageTimeout + time.Second
+	m.peerSends("x", false)
+	m.calls.readErrors = []error{unix.ENOMEM, unix.ENOBUFS} // of the turn and of its sweep
+	m.runTurn()
+	m.expectState(stateOpen)
+	m.runTurn()
+	m.expectState(stateOpen)
+	if h.received != h.length {
+		t.Errorf("%d bytes received, want %d", h.received, h.length)
+	}
+}
--- a/internal/eventloop/unseen.go
+++ b/internal/eventloop/unseen.go
@@ -73,7 +73,7 @@
 func (c *Conn) CatchUp() {
 	l := c.loop
 	limitReached := func() bool { return l.catchUpBytes >= catchUpLimit }
-	if !c.state.wantsInput() || c.writeError != nil || c.progress.unread && limitReached() {
+	if !c.readsInput() || c.progress.unread && limitReached() {
 		return
 	}
 	c.readClient(l.clock.now(), l.polledAt, func() (drained bool) {
