Show answers that come after their time beside clients at full speed

The test runs the router as a process on one core, with eight clients that send a call each 40 ms and workers that leave a third of them unanswered.

--- a/cmd/functionrouter/client_test.go
+++ b/cmd/functionrouter/client_test.go
@@ -138,20 +138,28 @@
 
 // tryResponse reads a response like response does, but returns an error if it can't read the frame.
 func (c *testClient) tryResponse() (status, body string, err error) {
+	_, status, body, err = c.readReply()
+	return status, body, err
+}
+
+// readReply reads a response like tryResponse does, and also returns the sequence number of its call.
+func (c *testClient) readReply() (sequence uint32, status, body string, err error) {
 	b, err := c.readFrame()
 	if err != nil {
-		return "", "", err
+		return 0, "", "", err
 	}
 	methodSize := binary.BigEndian.Uint32(b[4:])
-	b = b[4+4+methodSize+4:] // skips the version, the method and the sequence number
+	b = b[4+4+methodSize:] // skips the version and the method
+	sequence = binary.BigEndian.Uint32(b)
+	b = b[4:]
 	switch field := binary.BigEndian.Uint16(b[1:]); field {
 	case 0:
 		size := binary.BigEndian.Uint32(b[6:])
-		return "served", string(b[10 : 10+size]), nil
+		return sequence, "served", string(b[10 : 10+size]), nil
 	case 1:
-		return "refused", "", nil
+		return sequence, "refused", "", nil
 	default:
-		return "failed", "", nil
+		return sequence, "failed", "", nil
 	}
 }
 
--- /dev/null
+++ b/cmd/functionrouter/full_speed_clients_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against answers that come after their time because other clients send at full speed: long turns of the event
+// loop delayed the timers of the requests, and the time that input had waited unread was not counted.
+func TestAnswersAreInTimeBesideClientsAtFullSpeed(t *testing.T) {
+	const timedClientCount = 8
+	for _, test := range []struct {
+		name    string
+		clients int
+		frames  func(random *rand.Rand) func() []byte
+	}{
+		{"checks", 40, checkFrames},
+		{"unknown class", 40, callFrames("no such class", time.Second)},
+		{"waits of 1 ms", 60, callFrames("safe", time.Millisecond)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			small := func(text string) string { return strings.Replace(text, `"memory_mb":192`, `"memory_mb":64`, 1) }
+			h, _ := startPinnedProcess(t, small,
+				listedWorker{name: "s-1", addr: startForgetfulWorker(t).addr},
+				listedWorker{name: "s-2", addr: startForgetfulWorker(t).addr})
+			const seed = 1
+			timed := startTimedClients(t, h, timedClientCount, seed)
+			time.Sleep(500 * time.Millisecond)
+			others := startFullSpeedClients(t, h.listen, test.clients, seed, test.frames)
+			time.Sleep(2 * time.Second)
+			others.stop()
+			time.Sleep(500 * time.Millisecond)
+			result := timed.stop()
+			result.expectAnswersInTime(t)
+		})
+	}
+}
