Report long turns of the event loop, late answers and the time that input waits

The router now logs turns of 25 ms or more with their parts and the bytes that they read of clients, answers that are given after their clients have stopped waiting, and, with each request that ends without a result, for how long it may have waited unread. Counters hold the longest of each.

--- a/cmd/functionrouter/counters.go
+++ b/cmd/functionrouter/counters.go
@@ -20,6 +20,8 @@
 		logRequestCounters(c, router.Frontend(f))
 	}
 	s.logConnectionCounters()
+	logTurnCounters(s.loop.TakeTurnCounts())
+	logLateAnswers(c)
 	logAttemptCounters(c)
 	logUnservedCounters(c)
 	logLoadCommandCounters(c)
@@ -55,6 +57,22 @@
 	slog.Info("connection counters", attributes...)
 }
 
+// logTurnCounters logs the number of turns of the event loop, and the longest one since the previous such line.
+func logTurnCounters(c eventloop.TurnCounts) {
+	slog.Info("turn counters",
+		"turns", c.Turns,
+		"longest", c.Longest.Total,
+		"longest_events", c.Longest.Events,
+		"longest_end_of_turn", c.Longest.EndOfTurn,
+		"longest_writes", c.Longest.Writes,
+		"longest_client_input_bytes", c.Longest.ClientInput)
+}
+
+// logLateAnswers logs how many answers came later than their clients waited, and the latest of them.
+func logLateAnswers(c *router.Counters) {
+	slog.Info("late answer counters", "answers", c.LateAnswers, "latest", c.LatestAnswer, "longest_input_wait", c.LongestInputWait)
+}
+
 // logAttemptCounters logs the attempts sent to workers and their outcomes. Overdue requests are those that the router
 // answered at their deadline because the policy had not decided about them by then.
 func logAttemptCounters(c *router.Counters) {
--- a/cmd/functionrouter/counters_test.go
+++ b/cmd/functionrouter/counters_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"functionrouter/internal/router"
 	"functionrouter/policy"
@@ -22,6 +23,9 @@
 	c.AttemptOutcomes[policy.Served] = 5
 	c.AttemptOutcomes[policy.FunctionNotLoaded] = 2
 	c.Overdue = 3
+	c.LateAnswers = 2
+	c.LatestAnswer = 30 * time.Millisecond
+	c.LongestInputWait = 8 * time.Millisecond
 	c.UnservedByReason[policy.LoadShed] = 2
 	c.LoadCommands = 6
 	c.LoadCommandOutcomes[policy.TimedOut] = 6
@@ -37,6 +41,7 @@
 			`msg="request counters" frontend=webhook received=9 served=4 refused=2 failed=1 client_cancelled=1 refused_at_once=1 client_disconnected=1`,
 		},
 		{"attempts", logAttemptCounters, `msg="attempt counters" sent=7 served=5 function_not_loaded=2 overdue_requests=3`},
+		{"late answers", logLateAnswers, `msg="late answer counters" answers=2 latest=30ms longest_input_wait=8ms`},
 		{
 			"unserved", logUnservedCounters,
 			`msg="unserved counters" deadline_exceeded=0 no_worker_available=0 predicted_too_late=0 load_shed=2`,
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -58,6 +58,7 @@
 	refusals        logging.Throttle // connections refused because of Config.MaxAcceptedConnections
 	backlogPauses   logging.Throttle // pauses of listeners because no connection could be accepted
 	interrupted     interruptedLog
+	turns           turnMonitor
 
 	acceptedCount uint64      // connections accepted since the start
 	closeCounts   CloseCounts // accepted connections closed since the start
@@ -81,6 +82,7 @@
 
 		backlogPauses: logging.Throttle{Interval: refusalLogInterval},
 		interrupted:   newInterruptedLog(),
+		turns:         newTurnMonitor(),
 	}
 }
 
@@ -133,17 +135,22 @@
 		events, complete := l.poll.wait(timeout)
 		l.startTurn(waitedFrom, timeout)
 		l.recordPoll(complete)
+		l.turns.begin(l.now, l.clientInput)
 		beginTurn(l.now)
 		l.runDeferred()
 		posted = l.runPosted(posted)
 		l.poll.dispatch(events)
 		l.checkDials()
 		l.resumeAccepting()
+		l.turns.endPart(&l.turns.current.Events, l.clock.now())
 		nextTurn = min(endTurn(l.now), l.nextCheck(), l.now+sweepInterval)
+		l.turns.endPart(&l.turns.current.EndOfTurn, l.clock.now())
 		l.flush()
 		if l.now-l.lastSweep > sweepInterval {
 			l.sweep()
 		}
+		l.turns.endPart(&l.turns.current.Writes, l.clock.now())
+		l.turns.end(l.clock.now(), l.clientInput)
 	}
 	l.posts.close()
 	l.closeDescriptors()
--- a/internal/frontend/thrift/request.go
+++ b/internal/frontend/thrift/request.go
@@ -93,6 +93,8 @@
 	if err != nil {
 		return router.Request{}, &invalidFieldError{fieldWait, err}
 	}
+	inputTime := s.inputTime()
+	waitTime := fieldvalue.Milliseconds(wait)
 	request := router.Request{
 		Frontend:    router.Thrift,
 		ID:          id,
@@ -100,7 +102,9 @@
 		Tenant:      tenant,
 		FunctionKey: functionKey,
 		Function:    policy.FunctionID(function),
-		Deadline:    s.inputTime() + router.AnswerBudget(fieldvalue.Milliseconds(wait)),
+		Deadline:    inputTime + router.AnswerBudget(waitTime),
+		GivesUpAt:   inputTime + waitTime,
+		InputWait:   max(s.clock()-inputTime, 0),
 	}
 	if err := parseProperties(string(fields[fieldProperties]), &request); err != nil {
 		return router.Request{}, &invalidFieldError{fieldProperties, err}
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -1,6 +1,10 @@
 package router
 
-import "functionrouter/policy"
+import (
+	"time"
+
+	"functionrouter/policy"
+)
 
 // outcomeCount is the number of policy.Outcome values.
 const outcomeCount = policy.FunctionNotLoaded + 1
@@ -32,6 +36,11 @@
 	// stays 0 unless the policy has a fault, the machine stalls, BeginShutdown moves the deadline of an open request,
 	// or a request arrives with no time left, such as one whose client waits for 0 ms.
 	Overdue uint64
+	// LateAnswers counts the answers that were given after Request.GivesUpAt. LatestAnswer is the longest time by which one
+	// was later, and LongestInputWait is the longest Request.InputWait of all requests.
+	LateAnswers      uint64
+	LatestAnswer     time.Duration
+	LongestInputWait time.Duration
 	// UnservedByReason counts requests that the policy refused or failed, by reason.
 	UnservedByReason [policy.UnservedReasonCount]uint64
 }
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -18,6 +18,7 @@
 		return 0
 	}
 	r.Counters.Received[req.Frontend]++
+	r.Counters.LongestInputWait = max(r.Counters.LongestInputWait, req.InputWait)
 	if r.requests.hasExternalID(req.ID) {
 		// Workers identify a request by this id. If two pending requests shared an id, a worker could answer one with
 		// the result of the other. Which of the two the client means is unknown, so the later one fails.
@@ -157,6 +158,7 @@
 // Responder.Respond: if Respond cancelled the request, the request would be closed twice. See Responder.
 func (r *Router) respond(id policy.RequestID, p *pendingRequest, resp Response) {
 	r.Counters.countResponse(p.Frontend, resp.Status)
+	r.recordLateAnswer(p, resp.Status)
 	p.Responder.Respond(resp)
 	r.close(id, p, resp.Status.outcome())
 }
--- a/internal/router/no_result_log.go
+++ b/internal/router/no_result_log.go
@@ -43,6 +43,7 @@
 		"age", now - p.ReceivedAt,
 		"time_left", p.Deadline - now,
 		"attempts", len(p.attempts),
+		"input_wait", p.InputWait,
 	}
 	if len(p.attempts) > 0 {
 		last := p.attempts[len(p.attempts)-1]
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -53,6 +53,11 @@
 	Body            []byte
 	Deadline        time.Duration // time by which the final answer must be written, see AnswerBudget
 
+	// GivesUpAt is when the client stops waiting, as far as the frontend knows; 0: not known. It only serves to report
+	// late answers.
+	GivesUpAt time.Duration
+	InputWait time.Duration // for how long the request may have waited unread before it was submitted
+
 	ClientAddr netip.AddrPort // for flow records only
 	ReceivedAt time.Duration  // set by Submit and RefuseAtOnce
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,6 +70,8 @@
 	sendable []AttemptID // see sendAttempts; the slice is reused
 	// noResultLog logs requests that ended without a result.
 	noResultLog noResultLog
+	// lateAnswerLog logs answers that come after their clients have stopped waiting.
+	lateAnswerLog lateAnswerLog
 	// latestDeadline is an upper bound for the deadlines of all requests; 0 means no bound. See BeginShutdown.
 	latestDeadline   time.Duration
 	admissionStopped bool // see StopAdmitting
@@ -89,6 +91,8 @@
 		controls:     newControlTable(),
 		noResultLog:  newNoResultLog(),
 		onRequestEnd: cfg.OnRequestEnd,
+
+		lateAnswerLog: newLateAnswerLog(),
 	}
 	r.workers = cfg.NewWorkerPool(r)
 	return r
