Read input in parts for a limited time of each turn, the client that took least first

Cause: a turn of the event loop read a part of every client that had input, and all input of clients that had closed, up to 4 MB each; a new connection was read to its end when it was accepted. Timers fired only at the end of the turn. What a turn could last thus grew with the number of senders and the cost of a message. The log of a test shows first turns of 120 to 200 ms with 3.5 to 5.2 MB of input and later ones of 53 to 118 ms, nearly all in the handlers.

Now a turn reads clients for 4 ms and workers for 4 ms, in parts of 4 KiB and by start-time fair queuing, so that a client that sends little is read at once, and what is left waits for the next turn. Accepting and catching up are limited in time in the same way. After each part the router fires its timers and lets the policy decide, so that requests are ended while the turn lasts, and what they cost is charged to their sender. No attempt begins for a client whose end the poller has reported. A client to which a write has failed is read for one part only, as nothing can be answered.

Tests of the parts that a turn reads expect the time of a turn in place of a number of bytes.

--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -39,7 +39,9 @@
 		return nil, err
 	}
 	s := &server{cfg: cfg, shutdown: shutdown{flushTimeout: cfg.flushTimeout()}}
-	s.loop = eventloop.New(cfg.loopConfig())
+	loopConfig := cfg.loopConfig()
+	loopConfig.AfterInput = func(now time.Duration) { s.router.Advance(now) }
+	s.loop = eventloop.New(loopConfig)
 	s.router = router.New(router.Config{
 		Policy: routingPolicy,
 		Limits: cfg.routerLimits(),
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -35,6 +35,7 @@
 	c := &Conn{
 		loop: l, socket: socket{fd: fd}, remoteAddr: peer, isAccepted: true, state: stateOpen,
 		progress: inputProgress{acceptedAt: l.now, arrivedSince: inputTime},
+		inputTag: l.clientInput.virtual,
 	}
 	if !l.ensureAcceptCapacity() && !c.hasInput() {
 		l.refusals.Add()
@@ -47,7 +48,9 @@
 	c.activity.lastActivity = l.now
 	c.acceptedHandler = ln.accept(c)
 	c.handler = c.acceptedHandler
+	began := l.clock.now()
 	c.readFirstInput()
+	l.endPart(c, began)
 	if c.state.isClosed() {
 		return
 	}
@@ -61,7 +64,7 @@
 // readFirstInput reads the input of a connection that has just been accepted. If the client has already closed its
 // direction, it writes the answers and closes the connection at once.
 func (c *Conn) readFirstInput() {
-	c.readToEnd()
+	c.readArrived()
 	if !c.state.isClosed() && !c.state.wantsInput() {
 		c.flush()
 	}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -27,7 +27,8 @@
 	// peer sent before the failure is still read in the next turn, before the connection closes.
 	writeError error
 
-	progress inputProgress // of an accepted connection
+	progress inputProgress
+	inputTag time.Duration // see inputSchedule
 
 	pending          [][]byte      // buffers queued by Write in this turn
 	pendingBytes     int           // their total size
@@ -65,10 +66,12 @@
 
 func (c *Conn) isClientConnection() bool { return c.isAccepted }
 
-// onEvents handles the events that the poller reports. A broken connection is still read: the reads return the data
-// that the peer sent before the connection broke, and then the error that broke it.
+// hangupOrError are the events that the poller reports for a broken connection.
+const hangupOrError = unix.EPOLLERR | unix.EPOLLHUP
+
+// onEvents handles the events that the poller reports, except that it only schedules reads. A broken connection is still
+// read: the reads return the data that the peer sent before the connection broke, and then the error that broke it.
 func (c *Conn) onEvents(events uint32) {
-	const hangupOrError = unix.EPOLLERR | unix.EPOLLHUP
 	if c.state.isDialing() {
 		c.finishConnect()
 		return
@@ -82,13 +85,8 @@
 		if events&hangupOrError != 0 {
 			c.closeAndNotify(c.pendingError())
 		}
-	case events&(unix.EPOLLRDHUP|hangupOrError) != 0:
-		// Read the connection to the end of its input in this turn, within the limit of maxReadsAtEnd reads. Otherwise
-		// the data that the peer sent before the end could be handled in an earlier turn than the end, and the router
-		// could forward a request to a worker although its client has disconnected.
-		c.readToEnd()
-	case events&unix.EPOLLIN != 0:
-		c.readSome()
+	case events&(unix.EPOLLIN|unix.EPOLLRDHUP|hangupOrError) != 0:
+		c.scheduleRead(events)
 	}
 }
 
--- a/internal/eventloop/doc.go
+++ b/internal/eventloop/doc.go
@@ -17,10 +17,11 @@
 // # Turns
 //
 // The loop works in turns. Each turn waits for events and calls beginTurn. It then makes the calls that the previous
-// turn has deferred and the calls that were posted. Next, it calls the handlers of the connections that have events,
-// client connections first. It then calls endTurn. At the end of the turn the loop writes what the turn has queued, in
-// one gathered write for each connection. Several times a second it closes the accepted connections that have timed
-// out.
+// turn has deferred and the calls that were posted. Next, it reads the connections that have input, client connections
+// first, in parts and for a limited time (see inputSchedule): input that is left is read in a later turn. After each part
+// it calls Config.AfterInput, so that what is due does not have to wait for the end of the turn. It then calls endTurn.
+// At the end of the turn the loop writes what the turn has queued, in one gathered write for each connection. Several
+// times a second it closes the accepted connections that have timed out.
 //
 // # Handlers
 //
--- /dev/null
+++ b/internal/eventloop/input_schedule.go
@@ -0,0 +1,109 @@
+package eventloop
+
+import (
+	"container/heap"
+	"time"
+)
+
+// inputBudget is how long a turn reads input of accepted connections, and as long again that of dialed ones. A turn also
+// accepts connections and catches up with unseen input for about as long each (see acceptBudget and catchUpBudget), so
+// that it stays well below the time that the router keeps for the way of an answer, whatever a message costs and however
+// many peers send. The time includes the pauses in which the machine runs something else.
+const inputBudget = 4 * time.Millisecond
+
+// inputSchedule orders the reads of the connections that have input, and divides the time for reads among them by
+// start-time fair queuing: it keeps for each connection how much time its input has taken (Conn.inputTag), and the
+// connection with the least is read next. A connection without input gains no credit. Peers that send little are thus
+// read at once beside any number of peers that send without a pause, and these share what is left.
+type inputSchedule struct {
+	ready   readyConnections
+	virtual time.Duration // tag of the connection that was read last
+	lastSeq uint64        // sequence number of the last connection that was added
+}
+
+// add adds a connection with input to the schedule of its turn.
+func (s *inputSchedule) add(c *Conn) {
+	s.lastSeq++
+	credit := max(s.virtual-c.inputTag, 0)
+	c.inputTag += credit
+	heap.Push(&s.ready, readyConnection{conn: c, tag: c.inputTag, credit: credit, seq: s.lastSeq})
+}
+
+// next removes the connection that is to be read next, or returns nil if there is none.
+func (s *inputSchedule) next() *Conn {
+	if len(s.ready) == 0 {
+		return nil
+	}
+	c := heap.Pop(&s.ready).(readyConnection).conn
+	s.virtual = max(s.virtual, c.inputTag)
+	return c
+}
+
+// clear removes the connections that the turn has not read. The poller reports them again.
+func (s *inputSchedule) clear() {
+	clear(s.ready)
+	s.ready = s.ready[:0]
+}
+
+// readScheduled reads the connections of a schedule, a part of each at a time, until nothing is left or inputBudget is
+// used up. It reads one part at least.
+func (l *Loop) readScheduled(s *inputSchedule) {
+	began := l.clock.now()
+	for now := began; now-began < inputBudget; {
+		c := s.next()
+		if c == nil {
+			return
+		}
+		if c.readPart() {
+			s.add(c)
+		}
+		now = l.endPart(c, now)
+	}
+	s.clear()
+}
+
+// endPart calls Config.AfterInput for a part of the input of c, whose handling began at the given time, and charges the
+// time to c. It returns the present time.
+func (l *Loop) endPart(c *Conn, began time.Duration) (now time.Duration) {
+	if l.cfg.AfterInput != nil {
+		l.cfg.AfterInput(l.clock.now())
+	}
+	now = l.clock.now()
+	c.inputTag += now - began
+	return now
+}
+
+// readyConnection is a connection in an inputSchedule.
+type readyConnection struct {
+	conn   *Conn
+	tag    time.Duration // Conn.inputTag when the connection was added
+	credit time.Duration // by how much less time its input had taken; it only decides between equal tags
+	seq    uint64        // in the order in which connections were added
+}
+
+// readyConnections implements heap.Interface, ordered by tag, credit and sequence number.
+type readyConnections []readyConnection
+
+func (r readyConnections) Len() int { return len(r) }
+
+func (r readyConnections) Less(i, j int) bool {
+	if r[i].tag != r[j].tag {
+		return r[i].tag < r[j].tag
+	}
+	if r[i].credit != r[j].credit {
+		return r[i].credit > r[j].credit
+	}
+	return r[i].seq < r[j].seq
+}
+
+func (r readyConnections) Swap(i, j int) { r[i], r[j] = r[j], r[i] }
+
+func (r *readyConnections) Push(x any) { *r = append(*r, x.(readyConnection)) }
+
+func (r *readyConnections) Pop() any {
+	last := len(*r) - 1
+	connection := (*r)[last]
+	(*r)[last] = readyConnection{}
+	*r = (*r)[:last]
+	return connection
+}
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -19,8 +19,8 @@
 	// connections does not keep the loop from serving the open ones.
 	maxAcceptsPerTurn = 64
 
-	// maxAdmittedInput is how many bytes of new connections are read in one turn, after which no more are accepted.
-	maxAdmittedInput = 1 << 20
+	// acceptBudget is how long a listener accepts connections and reads their first input in one turn.
+	acceptBudget = 4 * time.Millisecond
 
 	// After a failed accept, the listener tries again at once. If further attempts fail, it pauses after each of them,
 	// first for minAcceptPause and then twice as long each time, up to maxAcceptPause.
@@ -134,15 +134,15 @@
 
 func (ln *listener) isClientConnection() bool { return false }
 
-// onEvents accepts the waiting connections, up to maxAcceptsPerTurn and maxAdmittedInput. The poller is level-triggered:
+// onEvents accepts the waiting connections, up to maxAcceptsPerTurn and acceptBudget. The poller is level-triggered:
 // if connections are left, the next wait returns at once.
 func (ln *listener) onEvents(uint32) {
 	wasBacklogged := ln.backlogged
 	ln.reported = true
 	ln.backlogged = true
-	inputBefore := ln.loop.clientInput
+	began := ln.loop.clock.now()
 	for range maxAcceptsPerTurn {
-		if ln.loop.clientInput-inputBefore > maxAdmittedInput {
+		if ln.loop.clock.now()-began >= acceptBudget {
 			return
 		}
 		if !ln.loop.mayAccept() {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -24,6 +24,10 @@
 	// maxConnectionsOverLimit more are open while their first requests are answered.
 	MaxAcceptedConnections int
 	MaxUnreadBytes         int // limit on the bytes that all peers, accepted and dialed, leave unread in total
+	// AfterInput, if not nil, is called with the present time after a part of the input of a connection has been handled,
+	// so that what is due is done while a turn lasts, and what the input leads to is charged to its sender. It is called
+	// on the loop's goroutine and not during a handler.
+	AfterInput func(now time.Duration)
 }
 
 // Loop owns the poller, the listeners and the connections. Create one with New, call Listen for each address, then
@@ -46,8 +50,10 @@
 	inputTime       time.Duration // see InputTime
 	polledAt        time.Duration // the last poll that has reported all descriptors with events
 	previousPoll    time.Duration // the same before the present turn
-	catchUpBytes    int           // bytes that Conn.CatchUp has read in this turn
-	clientInput     int           // bytes read from accepted connections since the start
+	catchUpTime     time.Duration // for how long Conn.CatchUp has read in this turn
+	clientInput     inputSchedule // accepted connections with input
+	workerInput     inputSchedule // dialed connections with input
+	clientBytes     int           // bytes read from accepted connections since the start
 	stopped         bool
 	deferred        []func()         // calls for the next turn
 	runningDeferred []func()         // deferred calls of this turn; the arrays of both slices are reused
@@ -135,11 +141,13 @@
 		events, complete := l.poll.wait(timeout)
 		l.startTurn(waitedFrom, timeout)
 		l.recordPoll(complete)
-		l.turns.begin(l.now, l.clientInput)
+		l.turns.begin(l.now, l.clientBytes)
 		beginTurn(l.now)
 		l.runDeferred()
 		posted = l.runPosted(posted)
 		l.poll.dispatch(events)
+		l.readScheduled(&l.clientInput)
+		l.readScheduled(&l.workerInput)
 		l.checkDials()
 		l.resumeAccepting()
 		l.turns.endPart(&l.turns.current.Events, l.clock.now())
@@ -150,7 +158,7 @@
 			l.sweep()
 		}
 		l.turns.endPart(&l.turns.current.Writes, l.clock.now())
-		l.turns.end(l.clock.now(), l.clientInput)
+		l.turns.end(l.clock.now(), l.clientBytes)
 	}
 	l.posts.close()
 	l.closeDescriptors()
@@ -174,7 +182,7 @@
 // recordPoll records the poll with which the present turn begins. complete means that it has reported all descriptors
 // with events.
 func (l *Loop) recordPoll(complete bool) {
-	l.catchUpBytes = 0
+	l.catchUpTime = 0
 	l.previousPoll = l.polledAt
 	if complete {
 		l.polledAt = l.now
--- a/internal/eventloop/manual_loop_test.go
+++ b/internal/eventloop/manual_loop_test.go
@@ -99,6 +99,8 @@
 	m.recordPoll(complete)
 	m.runDeferred()
 	m.poll.dispatch(events)
+	m.readScheduled(&m.clientInput)
+	m.readScheduled(&m.workerInput)
 	m.checkDials()
 	m.flush()
 	m.sweep()
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -12,17 +12,16 @@
 	// readBufferSize is the size of the buffer that all sockets share, in bytes. No datagram is larger.
 	readBufferSize = 64 << 10
 
-	// maxReadsPerTurn is how often one dialed connection is read in one turn at most, so that a connection that always
-	// has input does not keep the loop from serving the others.
-	maxReadsPerTurn = 4
+	// clientPartSize is how many bytes of an accepted connection are read before another one has its turn. Of the
+	// smallest messages it holds some hundred.
+	clientPartSize = 4 << 10
 
-	// clientReadSize is how many bytes of an accepted connection are read in one turn at most, unless its peer has ended
-	// it. Clients that send at full speed on all connections together thus make a turn, and the wait of all others, some
-	// 100 ms long at most. A longer message takes several turns.
+	// clientReadSize is how many bytes of an accepted connection are read at a time outside of the schedule: when it is
+	// accepted, when it has timed out, and in CatchUp.
 	clientReadSize = 16 << 10
 
-	// maxReadsAtEnd is how often a connection is read in one turn at most if its peer has ended it or a write to it has
-	// failed.
+	// maxReadsAtEnd is how often a dialed connection is read if a write to it has failed, and how often CatchUp reads an
+	// accepted one.
 	maxReadsAtEnd = 64
 )
 
@@ -42,39 +41,69 @@
 // readsInput reports whether input of an open connection is read, now or in a later turn.
 func (c *Conn) readsInput() bool { return c.state.wantsInput() && c.writeError == nil }
 
-// readSome reads a part of the data that has arrived. The poller is level-triggered and reports the rest in the next
-// turn.
-func (c *Conn) readSome() {
-	if c.isAccepted {
-		c.readClientInTurn(func() (drained bool) {
-			result, n := c.readOnce(c.loop.readBuffer[:clientReadSize])
-			return result.drained() || 0 < n && n < clientReadSize
-		})
+// scheduleRead adds a connection for which the poller has reported input to the schedule of the turn.
+func (c *Conn) scheduleRead(events uint32) {
+	if events&(unix.EPOLLRDHUP|hangupOrError) != 0 {
+		c.progress.endReported = true
+	}
+	if !c.isAccepted {
+		c.loop.workerInput.add(c)
 		return
 	}
-	for range maxReadsPerTurn {
-		if result, n := c.readOnce(c.loop.readBuffer); result != readData || 0 < n && n < readBufferSize {
-			return
-		}
+	c.progress.recordReported(c.loop.inputTime, c.loop.previousPoll)
+	c.loop.clientInput.add(c)
+}
+
+// readPart reads a part of the input of a connection that the poller has reported, and reports whether more may be left.
+func (c *Conn) readPart() (left bool) {
+	if !c.readsInput() {
+		return false
 	}
+	if !c.isAccepted {
+		left, _ = c.readInto(c.loop.readBuffer)
+		return left
+	}
+	c.readClient(c.loop.clock.now(), c.loop.previousPoll, func() (drained bool) {
+		left, drained = c.readInto(c.loop.readBuffer[:clientPartSize])
+		return drained
+	})
+	return left
 }
 
-// readToEnd reads the data that has arrived and the end of the input, in at most maxReadsAtEnd reads.
-func (c *Conn) readToEnd() {
-	c.readClientInTurn(func() (drained bool) {
-		for range maxReadsAtEnd {
-			if result, _ := c.readOnce(c.loop.readBuffer); result != readData {
+// readInto reads once into buffer, and once more if only the reported end of the input seems to be left, so that the end
+// is handled together with the data before it. It reports whether it is worth while to read on, and whether nothing is
+// left.
+func (c *Conn) readInto(buffer []byte) (left, drained bool) {
+	result, n := c.readOnce(buffer)
+	if result == readData && n < len(buffer) && c.progress.endReported {
+		result, n = c.readOnce(buffer)
+	}
+	drained = result.drained() || 0 < n && n < len(buffer) && !c.progress.endReported
+	return result == readData && !drained, drained
+}
+
+// readArrived reads what has arrived on an accepted connection outside of the schedule, up to clientReadSize bytes.
+func (c *Conn) readArrived() {
+	c.readClient(c.loop.clock.now(), c.loop.previousPoll, func() (drained bool) {
+		for size := 0; size < clientReadSize; {
+			result, n := c.readOnce(c.loop.readBuffer[:clientReadSize-size])
+			if result != readData {
 				return result.drained()
 			}
+			size += max(n, 1) // an interrupted read counts too
 		}
 		return false
 	})
 }
 
-// readClientInTurn calls readClient for a read of input that the poller has reported in this turn, or that came with a
-// connection that was accepted in this turn.
-func (c *Conn) readClientInTurn(read func() (drained bool)) {
-	c.readClient(c.loop.now, c.loop.previousPoll, read)
+// readToEnd reads the data that has arrived on a dialed connection and the end of the input, in at most maxReadsAtEnd
+// reads.
+func (c *Conn) readToEnd() {
+	for range maxReadsAtEnd {
+		if result, _ := c.readOnce(c.loop.readBuffer); result != readData {
+			return
+		}
+	}
 }
 
 // readClient calls read, which reads a part of the input and reports whether nothing is left. Meanwhile Loop.InputTime
@@ -109,7 +138,7 @@
 		return readEnded, 0
 	}
 	if c.isAccepted {
-		c.loop.clientInput += n
+		c.loop.clientBytes += n
 		c.progress.bytes += n
 	}
 	c.handleData(buffer[:n])
--- a/internal/eventloop/sweep.go
+++ b/internal/eventloop/sweep.go
@@ -12,12 +12,19 @@
 	closeTimeout = 2 * time.Second
 )
 
-// sweep closes the accepted connections that have timed out, and writes the log lines that are due.
+// sweep closes the accepted connections that have timed out, and writes the log lines that are due. If it takes longer
+// than inputBudget, the next turn goes on.
 func (l *Loop) sweep() {
 	l.lastSweep = l.now
+	began := l.clock.now()
 	for c := range l.accepted {
-		if _, timedOut := c.timedOut(); timedOut {
-			c.closeTimedOut()
+		if _, timedOut := c.timedOut(); !timedOut {
+			continue
+		}
+		c.closeTimedOut()
+		if l.clock.now()-began >= inputBudget {
+			l.lastSweep = 0
+			break
 		}
 	}
 	l.logRefusals()
@@ -29,7 +36,7 @@
 // input.
 func (c *Conn) closeTimedOut() {
 	if c.readsInput() {
-		c.readToEnd()
+		c.readArrived()
 		c.loop.deferCall(func() {}) // the next turn handles at once what has been read
 		if c.progress.unread {
 			return // a request may be in the input that is left
--- a/internal/eventloop/sweep_test.go
+++ b/internal/eventloop/sweep_test.go
@@ -89,7 +89,10 @@
 // the timeout of the message has passed, because the machine paused the process.
 func TestConnectionWithUnreadRestOfMessageIsNotTimedOut(t *testing.T) {
 	m := newManualLoop(t)
+	var sinceStart time.Duration
+	m.clock.sinceStart = func() time.Duration { return sinceStart }
 	h := &lengthHandler{length: clientReadSize + 2}
+	h.onData = func() { sinceStart += inputBudget } // a turn reads one part
 	m.accept(h)
 	h.conn = m.conn
 	m.peerSends("x", false)
--- a/internal/eventloop/turn_times.go
+++ b/internal/eventloop/turn_times.go
@@ -37,7 +37,7 @@
 	current     TurnTimes
 	startedAt   time.Duration // when the present turn began
 	partBegan   time.Duration // when the present part of the turn began
-	inputBefore int           // Loop.clientInput when the turn began
+	inputBefore int           // Loop.clientBytes when the turn began
 	longTurns   logging.Throttle
 	longest     TurnTimes // the longest turn since the last log line
 }
@@ -47,11 +47,11 @@
 }
 
 // begin starts the measurement of a turn.
-func (m *turnMonitor) begin(now time.Duration, clientInput int) {
+func (m *turnMonitor) begin(now time.Duration, clientBytes int) {
 	m.current = TurnTimes{}
 	m.startedAt = now
 	m.partBegan = now
-	m.inputBefore = clientInput
+	m.inputBefore = clientBytes
 }
 
 // endPart records that a part of the turn has ended at now.
@@ -61,9 +61,9 @@
 }
 
 // end ends the measurement of a turn, and logs the longest turn at most once per turnLogInterval if it was long.
-func (m *turnMonitor) end(now time.Duration, clientInput int) {
+func (m *turnMonitor) end(now time.Duration, clientBytes int) {
 	m.current.Total = now - m.startedAt
-	m.current.ClientInput = clientInput - m.inputBefore
+	m.current.ClientInput = clientBytes - m.inputBefore
 	m.counts.Turns++
 	if m.current.Total > m.counts.Longest.Total {
 		m.counts.Longest = m.current
--- a/internal/eventloop/unseen.go
+++ b/internal/eventloop/unseen.go
@@ -12,10 +12,9 @@
 	// time, so that they need no further system calls.
 	recentPollAge = 10 * time.Millisecond
 
-	// catchUpLimit is how many bytes CatchUp reads in one turn, so that clients that send at full speed do not make the
-	// turn long: 32 open calls of 16 KiB with their fields and their withdrawals, which is all that a usual client has on
-	// its way.
-	catchUpLimit = 640 << 10
+	// catchUpBudget is how long CatchUp reads in one turn, so that clients that send at full speed do not make the turn
+	// long.
+	catchUpBudget = 4 * time.Millisecond
 )
 
 // inputProgress tells how far the input of an accepted connection has been read.
@@ -23,12 +22,28 @@
 	acceptedAt time.Duration
 	bytes      int           // number of bytes read so far
 	seenUntil  time.Duration // all input that had arrived by this time has been read
-	unread     bool          // the last read has left input
+	unread     bool          // the last read has left input, or the poller has reported input that is not read yet
+	// endReported means that the poller has reported the end of the input, or of the connection. It is set for dialed
+	// connections too.
+	endReported bool
 	// arrivedSince is the earliest time at which the input that the last read has left may have arrived; 0 if none is
 	// left. Unlike seenUntil it may be up to processPauseThreshold too late, because it counts against a request's time.
 	arrivedSince time.Duration
 }
 
+// recordReported records that the poller has reported input, which may have arrived as early as inputTime. previousPoll
+// is when the poller last reported that there is none, unless the last read has left input.
+func (p *inputProgress) recordReported(inputTime, previousPoll time.Duration) {
+	if p.unread {
+		return
+	}
+	p.unread = true
+	p.seenUntil = max(p.seenUntil, previousPoll)
+	if p.arrivedSince == 0 {
+		p.arrivedSince = inputTime
+	}
+}
+
 // recordRead records a read that began at start. If it has left input, previousPoll is when the poller last reported that
 // there is none, unless the read before it has left input too.
 func (p *inputProgress) recordRead(drained bool, start, previousPoll time.Duration) {
@@ -43,14 +58,16 @@
 }
 
 // UnseenFor returns for how long input of an accepted connection may have waited unread. It returns 0 if no unread input
-// is known and the last poll is recent. If the connection has ended and its handler's OnClose is due, it returns a time
-// that is longer than any limit.
+// is known and the last poll is recent. If the connection or its input has ended and this is not read yet, or if its
+// handler's OnClose is due, it returns a time that is longer than any limit.
 func (c *Conn) UnseenFor() time.Duration {
 	switch {
 	case c.state.isClosed() || c.writeError != nil:
 		return never
 	case !c.state.wantsInput():
 		return 0
+	case c.progress.unread && c.progress.endReported:
+		return never
 	case c.progress.unread:
 		return c.loop.clock.now() - c.progress.seenUntil
 	}
@@ -67,26 +84,28 @@
 	return float64(c.progress.bytes) / open.Seconds()
 }
 
-// CatchUp reads what has arrived on an accepted connection, within the limit of a turn. Beyond the limit it still reads a
+// CatchUp reads what has arrived on an accepted connection, within the time of a turn. Beyond that time it still reads a
 // part of a connection of which no unread input is known, because that is little as a rule. CatchUp calls the connection's
 // handler, so no handler may call it.
 func (c *Conn) CatchUp() {
 	l := c.loop
-	limitReached := func() bool { return l.catchUpBytes >= catchUpLimit }
-	if !c.readsInput() || c.progress.unread && limitReached() {
+	if !c.readsInput() || c.progress.unread && l.catchUpTime >= catchUpBudget {
 		return
 	}
-	c.readClient(l.clock.now(), l.polledAt, func() (drained bool) {
+	began := l.clock.now()
+	c.readClient(began, l.polledAt, func() (drained bool) {
 		for range maxReadsAtEnd {
 			result, n := c.readOnce(l.readBuffer[:clientReadSize])
-			l.catchUpBytes += n
 			if result != readData {
 				return result.drained()
 			}
-			if n == clientReadSize && limitReached() {
+			if n == clientReadSize && l.catchUpTime+l.clock.now()-began >= catchUpBudget {
 				return false
 			}
 		}
 		return false
 	})
+	spent := l.clock.now() - began
+	l.catchUpTime += spent
+	c.inputTag += spent
 }
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -175,13 +175,18 @@
 	c.loop.deferCall(c.closeAfterWriteError)
 }
 
-// closeAfterWriteError reads the data that the peer of a failed write has sent, and closes the connection. A read that
-// fails closes the connection with the error of the read.
+// closeAfterWriteError closes a connection whose peer of a failed write may have sent data. It reads what a worker has
+// sent, and a part of what a client has sent, because no request of this client can be answered. A read that fails closes
+// the connection with the error of the read.
 func (c *Conn) closeAfterWriteError() {
 	if c.state.isClosed() {
 		return
 	}
-	if c.state.wantsInput() {
+	switch {
+	case !c.state.wantsInput():
+	case c.isAccepted:
+		c.readArrived()
+	default:
 		c.readToEnd()
 	}
 	if !c.state.isClosed() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -138,6 +138,13 @@
 	return now + maxProcessInterval
 }
 
+// Advance does what is due while input is being handled: it fires the due timers and lets the policy decide about the
+// events that are queued. It sends no attempt. It must not be called during Process or by a Responder.
+func (r *Router) Advance(now time.Duration) {
+	r.SetNow(now)
+	r.decide()
+}
+
 // decide fires the due timers, gives the queued events to the policy and executes the actions that the policy returns,
 // until no timer is due and no event is queued.
 func (r *Router) decide() {
