Count the time that input waits during a turn towards its request's deadline

Cause: input that arrived during a turn counted as arriving at the next one, unless the turn had lasted 50 ms. The deadline of its request was too late by up to that time, which is more than the 40 ms that the router keeps for the way of the answer.

Now a wait that ends at once shows that its input has arrived during the turn before, whose begin then counts as the time of its arrival. A pause in a wait is assumed from 20 ms on, half of the time kept for the answer.

TestInputTimeAfterPauses fails without the change for input that has arrived in a turn of 5 ms and for a turn of 30 ms before a wait.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -6,17 +6,25 @@
 	"functionrouter/internal/logging"
 )
 
-// processPauseThreshold is how long a turn may take, and how much longer than its timeout a wait may take. If either
-// takes longer, the loop assumes that the machine has paused the process, and that the input of the next turn may have
-// arrived when that turn or wait began (InputTime).
-//
-// The threshold bounds the pauses that the loop does not detect. After such a pause, the router may assume a request's
-// deadline to be later than it is, by up to the length of the pause. In a turn, an undetected pause is at most as long
-// as the threshold. In a wait, it may be longer by the wait's timeout, which is at most sweepInterval, because the loop
-// detects only that the wait has exceeded its timeout by more than the threshold. A higher value makes more answers
-// come too late after a pause. A lower value makes the loop mistake long turns for pauses, and gives requests that
-// arrived during or after such a turn less time than they have.
-const processPauseThreshold = 50 * time.Millisecond
+const (
+	// processPauseThreshold is how much longer than its timeout a wait may take, and how long a turn may take whatever
+	// the wait after it shows. If either takes longer, the loop assumes that the machine has paused the process, and
+	// that the input of the next turn may have arrived when that wait or turn began (InputTime).
+	//
+	// The threshold bounds the pauses that the loop does not detect, after which the router assumes a request's deadline
+	// to be later than it is. It is half of the time that the router keeps for the way of an answer; the rest is for
+	// the turn in which the answer is due. In a wait, an undetected pause may be longer by the wait's timeout, which is
+	// at most sweepInterval. A lower value mistakes more delays of the machine for pauses, and gives requests that
+	// arrived afterwards less time than they have.
+	processPauseThreshold = 20 * time.Millisecond
+
+	// immediateWait is how long a wait takes at most that finds events as it begins. Their input has arrived during the
+	// turn before it. A wait that takes longer has begun without events.
+	immediateWait = time.Millisecond
+
+	// negligibleTurn is how long a turn may take for its input to count as arriving when the next one begins.
+	negligibleTurn = time.Millisecond
+)
 
 // Config sets the limits of a Loop.
 type Config struct {
@@ -169,10 +177,12 @@
 func (l *Loop) startTurn(waitedFrom, timeout time.Duration) {
 	previousTurn := l.now
 	l.now = l.clock.now()
+	turn := waitedFrom - previousTurn
+	wait := l.now - waitedFrom
 	switch {
-	case waitedFrom-previousTurn > processPauseThreshold:
+	case turn > processPauseThreshold, turn > negligibleTurn && wait <= immediateWait:
 		l.inputTime = previousTurn
-	case l.now-waitedFrom > timeout+processPauseThreshold:
+	case wait > timeout+processPauseThreshold:
 		l.inputTime = waitedFrom
 	default:
 		l.inputTime = l.now
--- a/internal/eventloop/poller_test.go
+++ b/internal/eventloop/poller_test.go
@@ -118,6 +118,9 @@
 	}{
 		{name: "short turn and wait"},
 		{name: "wait until its timeout", waitDuration: timeout},
+		{name: "input that has arrived in the turn", turnDuration: 5 * time.Millisecond, minInputAge: 5 * time.Millisecond},
+		{name: "turn before a wait without input", turnDuration: 5 * time.Millisecond, waitDuration: 5 * time.Millisecond},
+		{name: "long turn before a wait", turnDuration: 30 * time.Millisecond, waitDuration: 5 * time.Millisecond, minInputAge: 35 * time.Millisecond},
 		{name: "pause in the turn", turnDuration: time.Second, minInputAge: time.Second},
 		{name: "pause in the wait", waitDuration: time.Second, minInputAge: time.Second},
 	} {
