Keep idle threads of the garbage collector off the event loop's core

Cause: with four threads on one core, a garbage collection marks on up to four of them, and the event loop gets a part of the core meanwhile. Although a turn reads input for 4 ms, the log of TestAnswersAreInTimeBesideClientsAtFullSpeed named turns of 25 to 41 ms in each of its runs, some of them with 50 KB of input. Without garbage collections (GOGC=off, 2 runs) and with two threads (6 runs) it named none.

The process now has two threads. A blocked system call hands its thread's place to another one, so that no more are needed.

--- a/cmd/functionrouter/serve.go
+++ b/cmd/functionrouter/serve.go
@@ -9,9 +9,10 @@
 	"functionrouter/internal/backend"
 )
 
-// maxProcs is GOMAXPROCS. The process has one core; the additional threads let the event loop and the other goroutines
-// run while one of them sleeps in the kernel.
-const maxProcs = 4
+// maxProcs is GOMAXPROCS. The process has one core; the second thread lets the other goroutines run while the event loop
+// sleeps in the kernel, and the reverse. The garbage collector marks on each thread that is idle, and these threads share
+// the core with the event loop, so that more of them make its turns longer.
+const maxProcs = 2
 
 // Intervals of the periodic tasks. The interval of the pool is backend.SweepInterval.
 const (
