Remember which ended requests may have run, and treat their ids as repeats

Cause: the request table forgot an id as soon as its request was closed and its attempts had ended, and with a cancel an attempt ends at once although the worker may run it.

The router now keeps the worker and the time of the first attempt that may have run, for each ended request of a class that must not run again at will, for the longest deadline and window of the settings, and at most 256 for each MB of memory; beyond that it refuses requests of these classes before they are sent.

The tests of the counters expect the new fields; a condition that stood twice in closeRequest of the policy is gone.

--- a/cmd/functionrouter/counters.go
+++ b/cmd/functionrouter/counters.go
@@ -77,7 +77,7 @@
 // answered at their deadline because the policy had not decided about them by then.
 func logAttemptCounters(c *router.Counters) {
 	attributes := appendOutcomes([]any{"sent", c.AttemptsSent}, &c.AttemptOutcomes)
-	attributes = append(attributes, "overdue_requests", c.Overdue)
+	attributes = append(attributes, "overdue_requests", c.Overdue, "returned_ids", c.ReturnedIDs)
 	slog.Info("attempt counters", attributes...)
 }
 
@@ -109,6 +109,7 @@
 		"pending_requests", state.PendingRequests,
 		"control_calls", state.ControlCalls,
 		"timers", state.Timers,
+		"recent_runs", state.Runs,
 		"policy_requests", state.Policy.Requests,
 		"policy_attempts_in_flight", state.Policy.AttemptsInFlight,
 		"policy_load_commands", state.Policy.LoadCommands,
--- a/cmd/functionrouter/counters_test.go
+++ b/cmd/functionrouter/counters_test.go
@@ -23,6 +23,7 @@
 	c.AttemptOutcomes[policy.Served] = 5
 	c.AttemptOutcomes[policy.FunctionNotLoaded] = 2
 	c.Overdue = 3
+	c.ReturnedIDs = 4
 	c.LateAnswers = 2
 	c.LatestAnswer = 30 * time.Millisecond
 	c.LongestInputWait = 8 * time.Millisecond
@@ -40,11 +41,11 @@
 			"requests", func(c *router.Counters) { logRequestCounters(c, router.Webhook) },
 			`msg="request counters" frontend=webhook received=9 served=4 refused=2 failed=1 client_cancelled=1 refused_at_once=1 client_disconnected=1`,
 		},
-		{"attempts", logAttemptCounters, `msg="attempt counters" sent=7 served=5 function_not_loaded=2 overdue_requests=3`},
+		{"attempts", logAttemptCounters, `msg="attempt counters" sent=7 served=5 function_not_loaded=2 overdue_requests=3 returned_ids=4`},
 		{"late answers", logLateAnswers, `msg="late answer counters" answers=2 latest=30ms longest_input_wait=8ms`},
 		{
 			"unserved", logUnservedCounters,
-			`msg="unserved counters" deadline_exceeded=0 no_worker_available=0 predicted_too_late=0 load_shed=2`,
+			`msg="unserved counters" deadline_exceeded=0 no_worker_available=0 predicted_too_late=0 load_shed=2 repeat_not_allowed=0`,
 		},
 		{"load commands", logLoadCommandCounters, `msg="load command counters" sent=6 timed_out=6 unloads_sent=8`},
 		{"health checks", logHealthCheckCounters, `msg="health check counters" sent=10`},
--- a/cmd/functionrouter/limits.go
+++ b/cmd/functionrouter/limits.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"functionrouter/policy"
 )
 
 // fullMemoryMB is the memory, in MiB, to which the byte limits below refer. It is the limit that the platform usually
@@ -26,6 +28,10 @@
 // 256 bytes, so the entries take at most a sixteenth of the memory.
 const functionEntriesPerMB = 256
 
+// runsPerMB limits, in proportion to the memory, of how many ended requests the router remembers that they may have run.
+// An entry takes up to 80 bytes, so the entries take at most a fiftieth of the memory.
+const runsPerMB = 256
+
 // The Go runtime's soft memory limit is 6/10 of the memory. It must stay well below the limit at which the platform
 // kills the process, because the runtime does not count memory outside of Go and a garbage collection may run late.
 const (
@@ -109,6 +115,25 @@
 	return waits
 }
 
+// runsAreFinal reports, by class, whether a request that may have run must not run again at will.
+func (c *config) runsAreFinal() []bool {
+	final := make([]bool, len(c.policy.Classes))
+	for i, class := range c.policy.Classes {
+		final[i] = class.Idempotency != policy.Idempotent
+	}
+	return final
+}
+
+// runLifetime returns how long the router remembers that a request may have run: for as long as its client may go on to
+// send it, and for as long after that as workers may remember it.
+func (c *config) runLifetime() time.Duration {
+	var window time.Duration
+	for _, class := range c.policy.Classes {
+		window = max(window, class.DedupWindow)
+	}
+	return slices.Max(c.maxWaits()) + window
+}
+
 // refusalRetryAfter returns the Retry-After of the refusals that the router decides without the policy: refusals at
 // once, refusals at the deadline of an overdue request, and refusals of requests whose client has closed its side of
 // the connection. It returns 0 if the settings do not allow a Retry-After.
--- a/cmd/functionrouter/server.go
+++ b/cmd/functionrouter/server.go
@@ -90,6 +90,9 @@
 		MaxAttempts:        c.policy.MaxAttempts,
 		LoadCommandTimeout: c.policy.LoadCommandTimeout,
 		HealthCheckTimeout: healthCheckTimeout,
+		RunsAreFinal:       c.runsAreFinal(),
+		RunLifetime:        c.runLifetime(),
+		MaxRuns:            c.Limits.MemoryMB * runsPerMB,
 	}
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -101,7 +101,9 @@
 	}
 	a.ended = true
 	p.openAttempts--
-	p.endedAttemptMayHaveRun = p.endedAttemptMayHaveRun || !result.Outcome.NeverRan()
+	if !result.Outcome.NeverRan() {
+		p.recordRun(run{class: p.Class, worker: a.worker, sentAt: a.sentAt})
+	}
 	r.Counters.AttemptOutcomes[result.Outcome]++
 	if result.Outcome == policy.Served && !p.closed {
 		r.respond(id.Request, p, Response{Status: Served, Body: result.Body, MayHaveRun: true})
@@ -116,5 +118,5 @@
 		Duration:        r.now - a.sentAt,
 		LoadReport:      result.LoadReport,
 	})
-	r.requests.markIfDone(id.Request, p)
+	r.endIfDone(id.Request, p)
 }
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -21,6 +21,9 @@
 	ClientDisconnected [frontendCount]uint64 // requests that ClientCancelled counts and whose client's connection ended
 	RefusedAtOnce      [frontendCount]uint64 // refused because of a limit or a shutdown; the policy gets no event
 
+	// ReturnedIDs counts requests whose ID an earlier request had that has ended and may have run.
+	ReturnedIDs uint64
+
 	// Messages sent to workers.
 	AttemptsSent uint64
 	LoadCommands uint64
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -22,14 +22,19 @@
 	if r.requests.hasExternalID(req.ID) {
 		// Workers identify a request by this id. If two pending requests shared an id, a worker could answer one with
 		// the result of the other. Which of the two the client means is unknown, so the later one fails.
-		r.Counters.Failed[req.Frontend]++
-		r.respondAtOnce(req, Response{Status: Failed})
+		r.failAtOnce(req)
+		return 0
+	}
+	earlierRun, hasRun := r.runs.find(r.now, req.ID)
+	if hasRun && earlierRun.class != req.Class {
+		r.Counters.ReturnedIDs++
+		r.failAtOnce(req) // the settings say nothing of a request that comes again with another class
 		return 0
 	}
 	req.ReceivedAt = r.now
 	req.Deadline = r.limitDeadline(&req)
 	id, p := r.requests.add(req)
-	p.arrival = r.events.add(policy.RequestArrived{
+	arrival := policy.RequestArrived{
 		Request:     id,
 		Class:       req.Class,
 		Tenant:      req.Tenant,
@@ -38,14 +43,29 @@
 		MemoryMB:    req.MemoryMB,
 		LoadTime:    req.LoadTime,
 		TimeLeft:    max(req.Deadline-r.now, 0),
-	})
+	}
+	if hasRun {
+		r.Counters.ReturnedIDs++
+		p.recordRun(earlierRun)
+		arrival.EarlierRun = &policy.EarlierRun{Worker: earlierRun.worker, SentAt: earlierRun.sentAt}
+	}
+	p.arrival = r.events.add(arrival)
 	return id
 }
 
+// failAtOnce answers a request with Failed. The policy gets no event for it.
+func (r *Router) failAtOnce(req Request) {
+	r.Counters.Failed[req.Frontend]++
+	r.respondAtOnce(req, Response{Status: Failed})
+}
+
 // withinLimits reports whether the limits allow req, with its body, as one more open request. Requests that their clients
 // have withdrawn count until their attempts have ended: where attempts can't be cancelled, a client could otherwise leave
-// any number of them behind.
+// any number of them behind. A request that may have to be remembered after its end needs a place in the history.
 func (r *Router) withinLimits(req *Request) bool {
+	if r.runIsFinal(req.Class) && r.runs.full(r.now) {
+		return false
+	}
 	return r.requests.notDone() < r.limits.MaxOpenRequests &&
 		r.requests.bodyBytes+len(req.Body) <= r.limits.MaxBodyBytes
 }
@@ -170,7 +190,19 @@
 	r.cancelUnsentAttempts(id, p)
 	r.reportEnd(&p.Request, outcome)
 	r.requests.release(p)
-	r.requests.markIfDone(id, p)
+	r.endIfDone(id, p)
+}
+
+// endIfDone marks a request as done if it is closed and has no open attempts, and remembers whether it may have run.
+func (r *Router) endIfDone(id policy.RequestID, p *pendingRequest) {
+	if r.requests.markIfDone(id, p) && p.endedAttemptMayHaveRun && r.runIsFinal(p.Class) {
+		r.runs.add(r.now, p.ID, p.firstRun)
+	}
+}
+
+// runIsFinal reports whether a request of the class that may have run must not run again at will.
+func (r *Router) runIsFinal(class int) bool {
+	return class < len(r.limits.RunsAreFinal) && r.limits.RunsAreFinal[class]
 }
 
 // reportEnd calls Config.OnRequestEnd if it is set.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -40,7 +40,7 @@
 	Input Input
 	// ID is the request's id as text: the client's own or one that the frontend generated. It must be unique among the
 	// pending requests: those that are open, and those that are closed but have attempts in flight. Submit answers a
-	// duplicate with Failed.
+	// duplicate with Failed. A request whose ID an ended one had that may have run is treated as a repeat of that one.
 	ID              string
 	ClientReference string // the client's own name for the request if it differs from the ID, otherwise ""
 	Class           int    // index in the settings
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,12 @@
 	MaxAttempts        int           // attempts per request; 0 means no limit
 	LoadCommandTimeout time.Duration // time until an unanswered load command ends with policy.TimedOut
 	HealthCheckTimeout time.Duration // time until an unanswered health check ends with policy.TimedOut
+	// RunsAreFinal says, by class, whether a request that may have run must not run again at will. nil: in no class.
+	RunsAreFinal []bool
+	// RunLifetime is how long the Router remembers at least that a request of such a class may have run, after it has
+	// ended. MaxRuns is how many it remembers at once; beyond that it refuses requests of these classes.
+	RunLifetime time.Duration
+	MaxRuns     int
 }
 
 // Config holds the parameters of New.
@@ -66,6 +72,7 @@
 	actions  []policy.Action // returned by the policy for the last batch of events; the slice is reused
 	timers   timerQueue
 	requests requestTable
+	runs     runHistory
 	controls controlTable
 	sendable []AttemptID // see sendAttempts; the slice is reused
 	// noResultLog logs requests that ended without a result.
@@ -88,6 +95,7 @@
 		policy:       cfg.Policy,
 		limits:       cfg.Limits,
 		requests:     newRequestTable(),
+		runs:         runHistory{lifetime: cfg.Limits.RunLifetime, limit: cfg.Limits.MaxRuns},
 		controls:     newControlTable(),
 		noResultLog:  newNoResultLog(),
 		onRequestEnd: cfg.OnRequestEnd,
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -10,6 +10,7 @@
 	attempts               []attempt // indexed by AttemptID.Number
 	openAttempts           int       // number of attempts that have not ended
 	endedAttemptMayHaveRun bool      // true if an attempt ended and its outcome does not prove that it never ran
+	firstRun               run       // the first such attempt, also of an earlier request with the same ID
 	closed                 bool      // the request was answered, or cancelled by the client
 	abandoned              bool      // see Abandon
 	arrival                eventPosition
@@ -21,6 +22,14 @@
 // proof that it never ran.
 func (p *pendingRequest) mayHaveRun() bool { return p.endedAttemptMayHaveRun || p.openAttempts > 0 }
 
+// recordRun records that the request may have run.
+func (p *pendingRequest) recordRun(r run) {
+	if !p.endedAttemptMayHaveRun {
+		p.firstRun = r
+	}
+	p.endedAttemptMayHaveRun = true
+}
+
 // unservedStatus returns the status of an answer without a result: Failed if the request may have run, Refused
 // otherwise.
 func (p *pendingRequest) unservedStatus() Status {
@@ -101,12 +110,12 @@
 	p.Input = nil
 }
 
-// markIfDone marks a request as done if it is closed and has no open attempts. removeDone then removes it, or markIfDone
-// does so at once if the policy does not know it. Its Request.ID may be used again at once, because no further attempt is
-// sent to a worker. markIfDone may be called again for a request that is done.
-func (t *requestTable) markIfDone(id policy.RequestID, p *pendingRequest) {
+// markIfDone marks a request as done if it is closed and has no open attempts, and reports whether it has. removeDone then
+// removes it, or markIfDone does so at once if the policy does not know it. No further attempt is sent to a worker, so
+// another request may have its Request.ID from then on. markIfDone may be called again for a request that is done.
+func (t *requestTable) markIfDone(id policy.RequestID, p *pendingRequest) (isDone bool) {
 	if p.done || !p.closed || p.openAttempts > 0 {
-		return
+		return false
 	}
 	p.done = true
 	delete(t.externalIDs, p.ID)
@@ -115,6 +124,7 @@
 	} else {
 		delete(t.byID, id)
 	}
+	return true
 }
 
 // removeDone removes the requests that are done. It must be called only when the policy has handled all events and all
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -38,6 +38,8 @@
 	PredictedTooLate // predicted_too_late
 	// LoadShed: the request was shed in overload.
 	LoadShed // load_shed
+	// RepeatNotAllowed: an earlier request with the same id may have run, and its class allows no repeat now.
+	RepeatNotAllowed // repeat_not_allowed
 
 	// UnservedReasonCount is the number of reasons.
 	UnservedReasonCount = iota
--- a/policy/api_test.go
+++ b/policy/api_test.go
@@ -34,7 +34,8 @@
 		"no_worker_available": NoWorkerAvailable,
 		"predicted_too_late":  PredictedTooLate,
 		"load_shed":           LoadShed,
-		"UnservedReason(4)":   UnservedReason(UnservedReasonCount),
+		"repeat_not_allowed":  RepeatNotAllowed,
+		"UnservedReason(5)":   UnservedReason(UnservedReasonCount),
 	} {
 		if got := value.String(); got != want {
 			t.Errorf("the name of %T(%d) is %q, want %q", value, value, got, want)
--- a/policy/enum_string.go
+++ b/policy/enum_string.go
@@ -93,11 +93,12 @@
 	_ = x[NoWorkerAvailable-1]
 	_ = x[PredictedTooLate-2]
 	_ = x[LoadShed-3]
+	_ = x[RepeatNotAllowed-4]
 }
 
-const _UnservedReason_name = "deadline_exceededno_worker_availablepredicted_too_lateload_shed"
+const _UnservedReason_name = "deadline_exceededno_worker_availablepredicted_too_lateload_shedrepeat_not_allowed"
 
-var _UnservedReason_index = [...]uint8{0, 17, 36, 54, 63}
+var _UnservedReason_index = [...]uint8{0, 17, 36, 54, 63, 81}
 
 func (i UnservedReason) String() string {
 	idx := int(i) - 0
--- a/policy/events.go
+++ b/policy/events.go
@@ -61,6 +61,13 @@
 	Endpoints []Endpoint
 }
 
+// EarlierRun tells that the client's id of a request is that of an earlier request that has ended and may have
+// run. The request is then a repeat of the earlier one.
+type EarlierRun struct {
+	Worker WorkerID      // the worker of the first attempt that may have run
+	SentAt time.Duration // when that attempt was sent
+}
+
 // RequestArrived is a new request, which must get one final answer. The policy ignores it, and gives it no
 // answer, if its id is in use or its class is out of range.
 type RequestArrived struct {
@@ -74,6 +81,7 @@
 	WorkHint    time.Duration // hint: work (run time) that the client expects for the request; 0: no hint
 	TimeLeft    time.Duration // time until the client gives up
 	IsRepeat    bool          // the client has sent the request before; the policy does not read it
+	EarlierRun  *EarlierRun   // nil: the request has not run before
 }
 
 // ClientCancelled says that a request needs no answer from the policy: its client has cancelled it or has
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -72,12 +72,33 @@
 	e.TimeLeft = max(e.TimeLeft, 0)
 	r := &request{arrived: e, function: p.recordFunctionRequest(e), deadline: p.now + e.TimeLeft}
 	p.requests[e.Request] = r
+	if e.EarlierRun != nil && !p.resume(r, e.EarlierRun) {
+		return
+	}
 	p.assignQuota(r)
 	p.setTimer(max(e.TimeLeft-p.answerMargin(), 0), timer{kind: deadlineTimer, request: e.Request})
 	p.place(r)
 	r.function.recentRequests++ // after placing r, because the placement of r must not count r itself
 }
 
+// resume makes r, which has just arrived, a repeat of an earlier request with the same id. It ends r and returns
+// false if the class does not allow a repeat now.
+func (p *Policy) resume(r *request, run *EarlierRun) (mayBeRepeated bool) {
+	w := p.workers[run.Worker]
+	if w == nil { // shares no zone and no cell with any worker
+		w = &worker{endpoint: Endpoint{Worker: run.Worker, Zone: unknownPlace, Cell: unknownPlace}}
+	}
+	r.mayHaveRun = &attempt{request: r, worker: w, sentAt: run.SentAt, ended: true}
+	if p.classOf(r).settings.repeatableAt(p.now+p.cfg.Tick, run.SentAt) {
+		return true
+	}
+	p.endUnserved(r, 0, RepeatNotAllowed)
+	return false
+}
+
+// unknownPlace is the zone and the cell of a worker that is not listed any more.
+const unknownPlace = -1
+
 // responseStarted records that part of a response has reached the client. Another attempt would send the
 // client a second response.
 func (p *Policy) responseStarted(e ResponseStarted) {
@@ -132,10 +153,6 @@
 		r.waitsIn.requestFinished()
 	}
 	r.finished = true
-	if r.waitsIn != nil && !r.finished {
-		r.finished = true
-		r.waitsIn.requestFinished()
-	}
 	for _, a := range r.attempts {
 		if !a.ended {
 			p.cancelAttempt(a)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -88,3 +88,46 @@
 		}
 	}
 }
+
+// Guards against requests that run twice because their id comes again after an earlier request with it has ended: the new
+// request is a repeat, which its class may allow nowhere, only at some workers, or only for some time.
+func TestRequestWithAnEarlierRunIsARepeat(t *testing.T) {
+	const window = time.Second // of classKeyed
+	for _, test := range []struct {
+		name       string
+		class      int
+		earlierAt  WorkerID
+		age        time.Duration
+		wantWorker WorkerID // 0: no attempt
+		wantReason UnservedReason
+	}{
+		{"not idempotent", classNotIdempotent, 1, ms, 0, RepeatNotAllowed},
+		{"keyed, in zone and window", classKeyed, 1, ms, 1, 0},
+		{"keyed, at a worker of another zone", classKeyed, 2, ms, 2, 0},
+		{"keyed, after the window", classKeyed, 1, window, 0, RepeatNotAllowed},
+		{"keyed, at a worker that is not listed any more", classKeyed, 9, ms, 0, NoWorkerAvailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, testConfig(), 0)
+			h.setEndpoints(Endpoint{Worker: 1, State: Ready, Zone: 0}, Endpoint{Worker: 2, State: Ready, Zone: 1})
+			actions := h.handle(RequestArrived{
+				Request: 1, Class: test.class, Function: 7, Concurrency: 4, TimeLeft: 4 * time.Second,
+				EarlierRun: &EarlierRun{Worker: test.earlierAt, SentAt: h.now - test.age},
+			})
+			send, sent := firstAction[SendAttempt](actions)
+			if sent != (test.wantWorker != 0) || send.Worker != test.wantWorker {
+				t.Errorf("an attempt was sent: %v, to worker %d; want worker %d (0: none)", sent, send.Worker, test.wantWorker)
+			}
+			if sent {
+				return
+			}
+			failure, failed := firstAction[FailRequest](actions)
+			if !failed || failure.Reason != test.wantReason || hasAction[RefuseRequest](actions) {
+				t.Errorf("actions %v, want a FailRequest because of %v and no refusal", actions, test.wantReason)
+			}
+			if requests := h.policy.State().Requests; requests != 0 {
+				t.Errorf("the policy keeps %d requests, want 0", requests)
+			}
+		})
+	}
+}
