Read four parts of a connection in a turn at most

A turn went on with the same clients until its 4 ms were used up, also where a part costs microseconds, and the answers of workers waited meanwhile. A part is charged to its connection before this is scheduled again.

TestTurnEndsEarlyIfInputIsCheap fails without the change.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -27,8 +27,9 @@
 	// peer sent before the failure is still read in the next turn, before the connection closes.
 	writeError error
 
-	progress inputProgress
-	inputTag time.Duration // see inputSchedule
+	progress  inputProgress
+	inputTag  time.Duration // see inputSchedule
+	partsLeft int           // number of parts of the input that this turn may still read
 
 	pending          [][]byte      // buffers queued by Write in this turn
 	pendingBytes     int           // their total size
--- a/internal/eventloop/input_schedule.go
+++ b/internal/eventloop/input_schedule.go
@@ -11,6 +11,10 @@
 // many peers send. The time includes the pauses in which the machine runs something else.
 const inputBudget = 4 * time.Millisecond
 
+// maxPartsPerTurn is how many parts of the input of one connection are read in one turn at most. Turns are thus shorter
+// than inputBudget if little time suffices for all connections, and what others wait for in each turn comes sooner.
+const maxPartsPerTurn = 4
+
 // inputSchedule orders the reads of the connections that have input, and divides the time for reads among them by
 // start-time fair queuing: it keeps for each connection how much time its input has taken (Conn.inputTag), and the
 // connection with the least is read next. A connection without input gains no credit. Peers that send little are thus
@@ -21,8 +25,14 @@
 	lastSeq uint64        // sequence number of the last connection that was added
 }
 
-// add adds a connection with input to the schedule of its turn.
+// add adds a connection whose input the poller has reported to the schedule of its turn.
 func (s *inputSchedule) add(c *Conn) {
+	c.partsLeft = maxPartsPerTurn
+	s.push(c)
+}
+
+// push adds a connection to the schedule.
+func (s *inputSchedule) push(c *Conn) {
 	s.lastSeq++
 	credit := max(s.virtual-c.inputTag, 0)
 	c.inputTag += credit
@@ -45,8 +55,8 @@
 	s.ready = s.ready[:0]
 }
 
-// readScheduled reads the connections of a schedule, a part of each at a time, until nothing is left or inputBudget is
-// used up. It reads one part at least.
+// readScheduled reads the connections of a schedule, a part of each at a time, until maxPartsPerTurn of each or nothing is
+// left, or until inputBudget is used up. It reads one part at least.
 func (l *Loop) readScheduled(s *inputSchedule) {
 	began := l.clock.now()
 	for now := began; now-began < inputBudget; {
@@ -54,10 +64,11 @@
 		if c == nil {
 			return
 		}
-		if c.readPart() {
-			s.add(c)
-		}
+		left := c.readPart()
 		now = l.endPart(c, now)
+		if c.partsLeft--; left && c.partsLeft > 0 {
+			s.push(c)
+		}
 	}
 	s.clear()
 }
--- a/internal/eventloop/input_schedule_test.go
+++ b/internal/eventloop/input_schedule_test.go
@@ -134,6 +134,22 @@
 	}
 }
 
+// Guards against turns that go on with the same clients until their time is used up, while workers and timers wait: a turn
+// reads a few parts of each.
+func TestTurnEndsEarlyIfInputIsCheap(t *testing.T) {
+	m, clients := newScheduleLoop(t, 2)
+	m.cost = func(int) time.Duration { return 0 }
+	for _, client := range clients {
+		write(t, client, make([]byte, 2*maxPartsPerTurn*clientPartSize))
+	}
+	m.runNextTurn()
+	for i, h := range m.handlers {
+		if h.received != maxPartsPerTurn*clientPartSize {
+			t.Errorf("client %d: %d bytes read in a turn, want %d", i, h.received, maxPartsPerTurn*clientPartSize)
+		}
+	}
+}
+
 // Guards against timers that wait until the end of a turn: AfterInput is called after each part of the input.
 func TestAfterInputIsCalledForEachPart(t *testing.T) {
 	m, clients := newScheduleLoop(t, 1)
--- a/internal/eventloop/unseen_test.go
+++ b/internal/eventloop/unseen_test.go
@@ -104,7 +104,7 @@
 func TestCatchUpIsLimited(t *testing.T) {
 	m, h := newUnseenLoop(t)
 	m.runNextTurn()
-	const size = clientPartSize + 2*clientReadSize + 1
+	const size = clientPartSize + clientReadSize + clientPartSize + 1
 	m.peerSends(string(make([]byte, size)), false)
 	h.onData = func() { m.sinceStart += inputBudget } // so that the turn reads one part
 	m.runNextTurn()
