Use no connection to a worker any more once the list tells of a later start

Cause: of a worker that has restarted under its name, the pool retired only the connections that were dialed before the start. The list gives the start by the directory's clock. Where that clock is behind, or the router's was stepped, connections to the old process seemed to come after the start; if this process lives on, or its machine has vanished without a reset, new calls went to it.

Now a later start retires all open connections, whenever they were dialed; their calls go on.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -94,8 +94,8 @@
 func (p *Pool) SetNow(now time.Duration) { p.now = max(p.now, now) }
 
 // UpdateEndpoint sets a worker's address, a "host:port" (empty if unchanged), and its state. It adds an unknown worker
-// unless the state is Gone. startedAt is when the worker's process started (0 if unknown). Connections to an earlier
-// address or process are drained. Dials to them are cancelled, and the queued calls end as Unreachable.
+// unless the state is Gone. startedAt is when the worker's process started (0 if unknown). Connections that may lead to
+// an earlier address or process are drained. Dials to them are cancelled, and the queued calls end as Unreachable.
 //
 // If the state is not Ready, queued attempts end as Unreachable and queued load commands as WorkerOverloaded, because
 // the dial may succeed after the period in which calls may be sent to a draining worker. If the state is Gone, idle
@@ -113,6 +113,7 @@
 	if addr != "" {
 		w.address = addr
 	}
+	w.startedAt = max(w.startedAt, startedAt)
 	w.state = state
 	if state != policy.Ready {
 		for _, c := range slices.Clone(w.connections) {
--- a/internal/backend/selection_test.go
+++ b/internal/backend/selection_test.go
@@ -21,6 +21,33 @@
 	}
 }
 
+// Guards against calls that go to the old process of a worker that has restarted, over a connection that this process
+// keeps open: the connection is not used again, even if its dial seems to have come after the start because clocks differ.
+// Its call goes on. A list that tells of the same start again changes nothing.
+func TestConnectionsToTheOldProcessAreNotUsed(t *testing.T) {
+	const dialedAt = time.Hour
+	p := newTestPool()
+	p.SetNow(dialedAt)
+	old := p.startOnOpenConnection(firstAttempt(1), hexID(1))
+	p.SetNow(dialedAt + 5*time.Second)
+	const startedAt = dialedAt - time.Second // by a clock that is behind
+	p.UpdateEndpoint(workerID, workerAddress, policy.Ready, startedAt)
+	p.start(firstAttempt(2), hexID(2))
+	p.lastTransport().handler.OnOpen(nil)
+	if old.attemptsWritten(hexID(2)) > 0 || old.Closed {
+		t.Errorf("the old connection got the new attempt: %v, want false; closed: %v, want false",
+			old.attemptsWritten(hexID(2)) > 0, old.Closed)
+	}
+	p.SetNow(dialedAt + 6*time.Second)
+	p.UpdateEndpoint(workerID, workerAddress, policy.Ready, startedAt)
+	p.start(firstAttempt(3), hexID(3))
+	old.handler.OnData(encodeAnswer(hexID(1), "HIT", "done"))
+	if len(p.transports) != 2 || p.recorder.attempts[firstAttempt(1)][0] != policy.Served {
+		t.Errorf("%d connections, want 2; the first attempt ended with %v, want %v",
+			len(p.transports), p.recorder.attempts[firstAttempt(1)], policy.Served)
+	}
+}
+
 // Guards against unlimited growth of recentIDs when many attempts are cancelled, and against losing the pending calls
 // of a connection when it is full and another connection replaces it.
 func TestCancellationsDoNotResetPendingCalls(t *testing.T) {
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -10,7 +10,8 @@
 // worker is an endpoint and the connections to it.
 type worker struct {
 	id          policy.WorkerID
-	address     string // "host:port"; empty if unknown
+	address     string        // "host:port"; empty if unknown
+	startedAt   time.Duration // latest start of its process; 0 if unknown
 	state       policy.WorkerState
 	connections []*connection // in the order in which they were dialed
 }
@@ -27,16 +28,21 @@
 }
 
 // retireOutdated retires all connections if addr (empty if unchanged) is a new address of the worker, because another
-// worker may now use the old address. It also retires connections that were dialed before startedAt (0 if unknown).
-// They led to an earlier process of the worker, and after a restart of the worker's machine, data sent over them is
-// answered by a reset. Attempts that wait on them end as Unreachable.
+// worker may now use the old address, or if startedAt (0 if unknown) is a later start than before. They may lead to an
+// earlier process of the worker, which may live on; whether they were dialed before the start can't be told, because
+// clocks differ. Attempts that wait on them end as Unreachable. A dial that has not ended and seems to have begun after the
+// start goes on.
 func (w *worker) retireOutdated(addr string, startedAt time.Duration) {
 	addressChanged := addr != "" && addr != w.address
+	if !addressChanged && startedAt <= w.startedAt {
+		return
+	}
 	for _, c := range slices.Clone(w.connections) {
-		if addressChanged || c.dialedAt < startedAt {
-			if c.state != stateConnecting {
-				c.failQueued()
-			}
+		switch {
+		case c.state != stateConnecting:
+			c.failQueued()
+			c.retire()
+		case addressChanged || c.dialedAt < startedAt:
 			c.retire()
 		}
 	}
