--- a/policy/enum_string.go
+++ b/policy/enum_string.go
@@ -161,12 +161,13 @@
 	var x [1]struct{}
 	_ = x[housekeepingTimer-0]
 	_ = x[resubscribeTimer-1]
-	_ = x[deadlineTimer-2]
+	_ = x[placementTimer-2]
+	_ = x[deadlineTimer-3]
 }
 
-const _timerKind_name = "housekeepingresubscribedeadline"
+const _timerKind_name = "housekeepingresubscribeplacementdeadline"
 
-var _timerKind_index = [...]uint8{0, 12, 23, 31}
+var _timerKind_index = [...]uint8{0, 12, 23, 32, 40}
 
 func (i timerKind) String() string {
 	idx := int(i) - 0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,11 @@
 	// checks and between loads while loads fail.
 	housekeepingInterval = 50 * time.Millisecond
 
+	// maxCandidatesAtOnce limits the work of one call of continuePlacing, in workers that are examined for a
+	// request. A higher limit makes answers of other requests wait longer in a large fleet; a lower limit
+	// makes more timers.
+	maxCandidatesAtOnce = 16384
+
 	// sweepInterval is the time between two sweeps, which decay the served work and delete unused entries.
 	sweepInterval = time.Second
 
@@ -49,6 +54,8 @@
 	requests  map[RequestID]*request
 	waiting   waitQueue // requests that no worker may take now; housekeeping places them again
 	functions map[FunctionID]*function
+	// placementsLeft is how many of the waiting requests are still to be tried since the last housekeeping.
+	placementsLeft int
 	// evictionThreshold is the number of entries at which limitFunctions evicts functions next, if it is
 	// above MaxFunctionEntries.
 	evictionThreshold int
@@ -135,12 +142,25 @@
 	}
 }
 
-// placeWaiting tries again to place the requests that no worker could take. A request that still finds no
-// worker continues to wait if there is enough time; otherwise it is refused.
+// placeWaiting begins to try again to place the requests that no worker could take.
 func (p *Policy) placeWaiting() {
-	for _, r := range p.waiting.takeAll() {
+	p.placementsLeft = len(p.waiting.requests)
+	p.continuePlacing()
+}
+
+// continuePlacing tries to place a part of the requests that are left of placeWaiting, and sets a timer if some
+// remain: the router does nothing else meanwhile. A request that still finds no worker continues to wait if
+// there is enough time; otherwise it is refused.
+func (p *Policy) continuePlacing() {
+	count := min(max(maxCandidatesAtOnce/max(len(p.fleet), 1), 1), p.placementsLeft)
+	p.placementsLeft -= count
+	for _, r := range p.waiting.take(count) {
 		p.place(r)
 	}
+	p.placementsLeft = min(p.placementsLeft, len(p.waiting.requests))
+	if p.placementsLeft > 0 {
+		p.setTimer(p.cfg.Tick, timer{kind: placementTimer})
+	}
 }
 
 // sweep decays the served work and deletes the unused workers, instances and functions, and the old sends
--- a/policy/timers.go
+++ b/policy/timers.go
@@ -11,6 +11,8 @@
 	housekeepingTimer timerKind = iota // housekeeping
 	// resubscribeTimer renews the subscription to the endpoint list.
 	resubscribeTimer // resubscribe
+	// placementTimer continues to place the waiting requests.
+	placementTimer // placement
 	// deadlineTimer ends a request whose final answer is due.
 	deadlineTimer // deadline
 )
@@ -20,6 +22,7 @@
 const (
 	housekeepingToken   = 0
 	resubscribeToken    = 1
+	placementToken      = 2
 	deadlineTokenOffset = 1 << 32
 )
 
@@ -36,6 +39,8 @@
 		return housekeepingToken
 	case resubscribeTimer:
 		return resubscribeToken
+	case placementTimer:
+		return placementToken
 	default:
 		return deadlineTokenOffset + uint64(t.request)
 	}
@@ -48,6 +53,8 @@
 		return timer{kind: housekeepingTimer}, true
 	case token == resubscribeToken:
 		return timer{kind: resubscribeTimer}, true
+	case token == placementToken:
+		return timer{kind: placementTimer}, true
 	case token >= deadlineTokenOffset:
 		return timer{kind: deadlineTimer, request: RequestID(token - deadlineTokenOffset)}, true
 	default:
@@ -71,6 +78,8 @@
 		p.housekeeping()
 	case resubscribeTimer:
 		p.emit(Subscribe{On: true})
+	case placementTimer:
+		p.continuePlacing()
 	case deadlineTimer:
 		p.deadlineReached(t.request)
 	}
--- a/policy/timers_test.go
+++ b/policy/timers_test.go
@@ -8,6 +8,7 @@
 	for _, want := range []timer{
 		{kind: housekeepingTimer},
 		{kind: resubscribeTimer},
+		{kind: placementTimer},
 		{kind: deadlineTimer, request: 0},
 		{kind: deadlineTimer, request: 7},
 		{kind: deadlineTimer, request: ^RequestID(0)},
--- a/policy/wait_queue.go
+++ b/policy/wait_queue.go
@@ -27,11 +27,22 @@
 }
 
 // takeAll empties the queue and returns its requests, including those that have ended while they waited.
-func (q *waitQueue) takeAll() []*request {
-	taken := q.requests
-	*q = waitQueue{}
+func (q *waitQueue) takeAll() []*request { return q.take(len(q.requests)) }
+
+// take removes the given number of requests that have waited longest, or all if there are fewer, and returns
+// them, including those that have ended while they waited.
+func (q *waitQueue) take(count int) []*request {
+	count = min(count, len(q.requests))
+	taken := q.requests[:count:count]
+	q.requests = q.requests[count:]
+	if len(q.requests) == 0 {
+		q.requests = nil // the array belongs to taken
+	}
 	for _, r := range taken {
 		r.waitsIn = nil
+		if r.finished {
+			q.finished--
+		}
 	}
 	return taken
 }
