--- a/cmd/functionrouter/full_speed_clients_test.go
+++ b/cmd/functionrouter/full_speed_clients_test.go
@@ -10,7 +10,9 @@
 // Guards against answers that come after their time because other clients send at full speed: long turns of the event
 // loop delayed the timers of the requests, and the time that input had waited unread was not counted.
 func TestAnswersAreInTimeBesideClientsAtFullSpeed(t *testing.T) {
-	const timedClientCount = 8
+	load := timedLoad{
+		clients: 8, seed: 1, shortestWait: 400 * time.Millisecond, longestWait: 1100 * time.Millisecond, classes: []string{"safe"},
+	}
 	for _, test := range []struct {
 		name    string
 		clients int
@@ -27,10 +29,9 @@
 			h, _ := startPinnedProcess(t, small,
 				listedWorker{name: "s-1", addr: startForgetfulWorker(t).addr},
 				listedWorker{name: "s-2", addr: startForgetfulWorker(t).addr})
-			const seed = 1
-			timed := startTimedClients(t, h, timedClientCount, seed)
+			timed := startTimedClients(t, h, load)
 			time.Sleep(500 * time.Millisecond)
-			others := startFullSpeedClients(t, h.listen, test.clients, seed, test.frames)
+			others := startFullSpeedClients(t, h.listen, test.clients, load.seed, test.frames)
 			time.Sleep(2 * time.Second)
 			others.stop()
 			time.Sleep(500 * time.Millisecond)
--- a/cmd/functionrouter/timed_clients_test.go
+++ b/cmd/functionrouter/timed_clients_test.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -17,94 +15,171 @@
 // of 8 ms, and the 50 ms by which the operators' protocol extends every time limit on sockets.
 const latestAnswer = 58 * time.Millisecond
 
-const (
-	timedCallInterval = 40 * time.Millisecond // time between two calls of a client of timedClients
-	shortestTimedWait = 400 * time.Millisecond
-	longestTimedWait  = 1100 * time.Millisecond
-)
+// timedCallInterval is the time between two calls of a client of timedClients.
+const timedCallInterval = 40 * time.Millisecond
+
+// timedLoad describes the calls of timedClients.
+type timedLoad struct {
+	clients      int
+	seed         uint64 // the waits and ids are drawn from it
+	shortestWait time.Duration
+	longestWait  time.Duration
+	classes      []string // used in turn
+}
 
-// timedClients runs well-behaved clients, each on one connection, that send calls at a steady pace without waiting for
-// answers, and records when the answers come.
+// crossingTime is how long before the router closes a connection a call on it may have been sent for its client to send it
+// again on a new connection, one time, as the operators' protocol says.
+const crossingTime = 50 * time.Millisecond
+
+// timedClients runs well-behaved clients that send calls at a steady pace without waiting for answers, and records when the
+// answers come. A client keeps its connection, and opens another one if the router closes it.
 type timedClients struct {
 	t       *testing.T
+	address string
+	load    timedLoad
 	stopped chan struct{}
+	linger  time.Duration // how long the connections stay open after stopped is closed
 	senders sync.WaitGroup
-	readers sync.WaitGroup
 
 	mu     sync.Mutex
-	calls  map[timedCallKey]*timedCall
-	faults []string // connections that ended, and answers without a call
-}
-
-// timedCallKey identifies a call of timedClients.
-type timedCallKey struct {
-	client   int
-	sequence uint32
+	calls  []*timedCall
+	ending bool     // the router is about to be killed
+	faults []string // connections that could not be opened, and answers without a call
 }
 
 // timedCall is a call of timedClients.
 type timedCall struct {
-	sentAt   time.Time
+	class    string
+	id       string
 	wait     time.Duration
+	sentAt   time.Time
+	resent   bool // on another connection
 	answered bool
-	status   string
-	late     time.Duration // time of the answer after the end of the wait; negative: before it
+	// endOfConnection describes how the connection ended that the call was sent on, if it did.
+	endOfConnection string
+	status          string
+	late            time.Duration // time of the answer after the end of the wait; negative: before it
+}
+
+// timedConnection is a connection of a client of timedClients.
+type timedConnection struct {
+	*testClient
+	open  map[uint32]*timedCall // calls without an answer, by sequence number; guarded by timedClients.mu
+	ended chan struct{}         // closed when the connection has ended
 }
 
-// startTimedClients starts count clients, which send until stop. The waits are drawn from seed.
-func startTimedClients(t *testing.T, h *harness, count int, seed uint64) *timedClients {
+// startTimedClients starts clients, which send until stop or killed is called.
+func startTimedClients(t *testing.T, h *harness, load timedLoad) *timedClients {
 	t.Helper()
-	c := &timedClients{t: t, stopped: make(chan struct{}), calls: map[timedCallKey]*timedCall{}}
-	for i := range count {
-		client := h.connect()
-		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		c.senders.Add(1)
-		c.readers.Add(1)
-		go c.send(i, client, random)
-		go c.read(i, client.Conn)
+	c := &timedClients{t: t, address: h.listen, load: load, stopped: make(chan struct{})}
+	for i := range load.clients {
+		random := rand.New(rand.NewPCG(load.seed, uint64(i)))
+		c.senders.Go(func() { c.send(random) })
 	}
 	return c
 }
 
-// send sends calls until stop. It then waits until all answers are due, and ends the client's connection.
-func (c *timedClients) send(index int, client *testClient, random *rand.Rand) {
-	defer c.senders.Done()
+// connect opens a connection and reads its answers. It returns nil if it can't be opened.
+func (c *timedClients) connect() *timedConnection {
+	conn, err := net.Dial("tcp", c.address)
+	if err != nil {
+		c.recordFault(fmt.Sprintf("a client can't connect: %v", err))
+		return nil
+	}
+	connection := &timedConnection{
+		testClient: &testClient{Conn: conn, t: c.t},
+		open:       map[uint32]*timedCall{},
+		ended:      make(chan struct{}),
+	}
+	go c.read(connection)
+	return connection
+}
+
+// send sends calls of one client until the clients are stopped, and then ends its connection after a time.
+func (c *timedClients) send(random *rand.Rand) {
+	connection := c.connect()
 	ticks := time.NewTicker(timedCallInterval)
 	defer ticks.Stop()
-	for {
+	for n := 0; connection != nil; {
 		select {
 		case <-c.stopped:
-			time.Sleep(longestTimedWait + answerTolerance)
-			_ = client.Close() // ends read; the router may have closed it
+			time.Sleep(c.linger)
+			_ = connection.Close() // the router may have closed it
+			<-connection.ended
 			return
+		case <-connection.ended:
+			connection = c.reconnect(connection)
 		case <-ticks.C:
+			c.sendCall(connection, c.newCall(random, n))
+			n++
 		}
-		wait := shortestTimedWait + time.Duration(random.Int64N(int64(longestTimedWait-shortestTimedWait)))
-		id := fmt.Sprintf("%016x", random.Uint64())
-		frame := client.callFrame("safe", id, "timed", wait, "props", functionProperties)
-		c.mu.Lock()
-		c.calls[timedCallKey{index, client.lastSequence}] = &timedCall{sentAt: time.Now(), wait: wait}
-		c.mu.Unlock()
-		if _, err := client.Write(frame); err != nil {
-			return // read reports the end of the connection
+	}
+}
+
+// newCall draws a call.
+func (c *timedClients) newCall(random *rand.Rand, n int) *timedCall {
+	call := &timedCall{
+		class: c.load.classes[n%len(c.load.classes)],
+		id:    fmt.Sprintf("%016x", random.Uint64()),
+		wait:  c.load.shortestWait + time.Duration(random.Int64N(int64(c.load.longestWait-c.load.shortestWait))),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, call)
+	return call
+}
+
+// sendCall sends a call. If the connection has ended, it stays without an answer, and reconnect may send it again.
+func (c *timedClients) sendCall(connection *timedConnection, call *timedCall) {
+	frame := connection.callFrame(call.class, call.id, call.class+" "+call.id, call.wait, "props", functionProperties)
+	c.mu.Lock()
+	connection.open[connection.lastSequence] = call
+	call.sentAt = time.Now()
+	c.mu.Unlock()
+	_, _ = connection.Write(frame)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !call.answered {
+		call.sentAt = time.Now() // the time of the last byte counts
+	}
+}
+
+// reconnect opens another connection after one has ended, and sends the calls again that may have crossed its end.
+func (c *timedClients) reconnect(ended *timedConnection) *timedConnection {
+	endedAt := time.Now()
+	connection := c.connect()
+	if connection == nil {
+		return nil
+	}
+	var crossed []*timedCall
+	c.mu.Lock()
+	for _, call := range ended.open {
+		call.endOfConnection = fmt.Sprintf("client %v, sent %v before the end of its connection, at %v",
+			ended.LocalAddr(), endedAt.Sub(call.sentAt), endedAt.Format(time.TimeOnly+".000"))
+		if !call.resent && endedAt.Sub(call.sentAt) <= crossingTime {
+			call.resent = true
+			crossed = append(crossed, call)
 		}
 	}
+	c.mu.Unlock()
+	for _, call := range crossed {
+		c.sendCall(connection, call)
+	}
+	return connection
 }
 
-// read records the answers of a client until its connection ends.
-func (c *timedClients) read(index int, conn net.Conn) {
-	defer c.readers.Done()
-	reader := &testClient{Conn: conn, t: c.t}
+// read records the answers on a connection until it ends.
+func (c *timedClients) read(connection *timedConnection) {
+	defer close(connection.ended)
+	defer func() { _ = connection.Close() }() // the router may have closed it
+	reader := &testClient{Conn: connection.Conn, t: c.t}
 	for {
 		sequence, status, _, err := reader.readReply()
 		now := time.Now()
 		if err != nil {
-			if !c.isStopped() {
-				c.recordFault(fmt.Sprintf("the connection of client %d has ended: %v", index, err))
-			}
 			return
 		}
-		c.recordAnswer(timedCallKey{index, sequence}, status, now)
+		c.recordAnswer(connection, sequence, status, now)
 	}
 }
 
@@ -117,20 +192,25 @@
 	}
 }
 
+// recordFault records a fault, unless the test is ending the router.
 func (c *timedClients) recordFault(fault string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.faults = append(c.faults, fault)
+	if !c.ending && !c.isStopped() {
+		c.faults = append(c.faults, fault)
+	}
 }
 
-func (c *timedClients) recordAnswer(key timedCallKey, status string, now time.Time) {
+// recordAnswer records the answer to the call with a sequence number.
+func (c *timedClients) recordAnswer(connection *timedConnection, sequence uint32, status string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	call := c.calls[key]
-	if call == nil || call.answered {
-		c.faults = append(c.faults, fmt.Sprintf("a second answer, or one without a call: client %d, sequence %d", key.client, key.sequence))
+	call := connection.open[sequence]
+	if call == nil {
+		c.faults = append(c.faults, fmt.Sprintf("a second answer, or one without a call: sequence %d", sequence))
 		return
 	}
+	delete(connection.open, sequence)
 	call.answered = true
 	call.status = status
 	call.late = now.Sub(call.sentAt.Add(call.wait))
@@ -138,21 +218,42 @@
 
 // timedResult summarizes the calls of timedClients.
 type timedResult struct {
-	calls, served, unanswered int
-	late                      []time.Duration // of the answers that were not served, in ascending order
-	faults                    []string
+	calls, served int
+	unanswered    []*timedCall
+	late          []time.Duration // of the answers that were not served, in ascending order
+	faults        []string
 }
 
 // stop ends the clients once all answers are due, and returns the result.
 func (c *timedClients) stop() timedResult {
+	c.linger = c.load.longestWait + answerTolerance
+	return c.end(time.Now().Add(time.Hour))
+}
+
+// killed calls kill, which ends the router, and returns the result of the calls sent before. Calls that were sent so
+// shortly before the kill that their answers may have been on their way are left out.
+func (c *timedClients) killed(kill func()) timedResult {
+	sentBefore := time.Now().Add(-crossingTime)
+	c.mu.Lock()
+	c.ending = true
+	c.mu.Unlock()
+	kill()
+	return c.end(sentBefore)
+}
+
+// end ends the clients and returns the result of the calls that were sent before a time.
+func (c *timedClients) end(sentBefore time.Time) timedResult {
 	close(c.stopped)
 	c.senders.Wait()
-	c.readers.Wait()
-	result := timedResult{calls: len(c.calls), faults: c.faults}
+	result := timedResult{faults: c.faults}
 	for _, call := range c.calls {
+		if call.sentAt.IsZero() || call.sentAt.After(sentBefore) {
+			continue
+		}
+		result.calls++
 		switch {
 		case !call.answered:
-			result.unanswered++
+			result.unanswered = append(result.unanswered, call)
 		case call.status == "served":
 			result.served++
 		default:
@@ -165,10 +266,10 @@
 
 func (r *timedResult) String() string {
 	if len(r.late) == 0 {
-		return fmt.Sprintf("%d calls, %d served, %d unanswered", r.calls, r.served, r.unanswered)
+		return fmt.Sprintf("%d calls, %d served, %d unanswered", r.calls, r.served, len(r.unanswered))
 	}
 	return fmt.Sprintf("%d calls, %d served, %d unanswered; %d others were answered relative to the end of their wait: median %v, worst %v",
-		r.calls, r.served, r.unanswered, len(r.late), r.late[len(r.late)/2], r.late[len(r.late)-1])
+		r.calls, r.served, len(r.unanswered), len(r.late), r.late[len(r.late)/2], r.late[len(r.late)-1])
 }
 
 // expectAnswersInTime fails the test if a call has no answer or a late one.
@@ -178,8 +279,9 @@
 	if len(r.faults) > 0 {
 		t.Errorf("faults: %s", strings.Join(r.faults, "; "))
 	}
-	if r.unanswered > 0 {
-		t.Errorf("%d calls have no answer, want 0", r.unanswered)
+	for _, call := range r.unanswered {
+		t.Errorf("call %s has no answer; sent at %s with a wait of %v, resent: %v; %s",
+			call.id, call.sentAt.Format(time.TimeOnly+".000"), call.wait, call.resent, call.endOfConnection)
 	}
 	if len(r.late) > 0 && r.late[len(r.late)-1] > latestAnswer {
 		t.Errorf("the latest answer came %v after the end of its client's wait, want at most %v", r.late[len(r.late)-1], latestAnswer)
@@ -202,96 +304,3 @@
 	}()
 	return w
 }
-
-// fullSpeedClients runs clients that write frames without a pause and discard what they receive.
-type fullSpeedClients struct {
-	stopping atomic.Bool
-	running  sync.WaitGroup
-}
-
-// startFullSpeedClients starts count clients. frames returns the bytes that a client writes next; it is called with a
-// random source of the client.
-func startFullSpeedClients(
-	t *testing.T, address string, count int, seed uint64, newFrames func(random *rand.Rand) func() []byte,
-) *fullSpeedClients {
-	t.Helper()
-	f := &fullSpeedClients{}
-	for i := range count {
-		f.running.Add(1)
-		go func() {
-			defer f.running.Done()
-			random := rand.New(rand.NewPCG(seed, uint64(5000+i))) // no other clients use this sequence
-			for !f.stopping.Load() {
-				f.useConnection(address, newFrames(random))
-			}
-		}()
-	}
-	return f
-}
-
-// useConnection writes on one connection until stop, or until the router closes it.
-func (f *fullSpeedClients) useConnection(address string, frames func() []byte) {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return
-	}
-	discarded := make(chan struct{})
-	go func() {
-		defer close(discarded)
-		buffer := make([]byte, 64<<10)
-		for {
-			if _, err := conn.Read(buffer); err != nil {
-				return
-			}
-		}
-	}()
-	for !f.stopping.Load() {
-		_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) // so that the loop sees stopping
-		if _, err := conn.Write(frames()); err != nil {
-			break
-		}
-	}
-	_ = conn.Close() // much of what was written may be unread
-	<-discarded
-}
-
-// stop ends the clients, and returns once all their connections are closed.
-func (f *fullSpeedClients) stop() {
-	f.stopping.Store(true)
-	f.running.Wait()
-}
-
-// writeBytes is how many bytes a client of fullSpeedClients writes at a time.
-const writeBytes = 32 << 10
-
-// checkFrames returns checks, which the router answers at once.
-func checkFrames(*rand.Rand) func() []byte {
-	frame := frameMessage(thriftCall, "check", 1)
-	batch := slices.Repeat(frame, writeBytes/len(frame))
-	return func() []byte { return batch }
-}
-
-// callFrames returns a function for fullSpeedClients that writes calls of a class with some hundred ids and functions.
-// The bytes are made once, so that the clients take little of the machine.
-func callFrames(class string, wait time.Duration) func(random *rand.Rand) func() []byte {
-	return func(random *rand.Rand) func() []byte {
-		client := &testClient{}
-		var batch []byte
-		var sequencesAt []int
-		for len(batch) < writeBytes {
-			id := fmt.Sprintf("%016x", random.Uint64())
-			frame := client.callFrame(class, id, "full speed", wait, "props", functionProperties)
-			copy(frame[strings.Index(string(frame), "7f3a9c21e0b4d655"):], id)
-			sequencesAt = append(sequencesAt, len(batch)+strings.Index(string(frame), "execute")+len("execute"))
-			batch = append(batch, frame...)
-		}
-		sequence := uint32(0)
-		return func() []byte {
-			for _, at := range sequencesAt {
-				sequence++
-				binary.BigEndian.PutUint32(batch[at:], sequence)
-			}
-			return batch
-		}
-	}
-}
