Limit the time that a turn catches up with input of which nothing is known

It now stops after twice its time; what is unread for more than 50 ms keeps an attempt back as before. A worker's connection to which a write has failed is read for 1 MB at most, in place of 4 MB.

TestCatchUpIsLimited fails without the change.

--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -20,9 +20,12 @@
 	// accepted, when it has timed out, and in CatchUp.
 	clientReadSize = 16 << 10
 
-	// maxReadsAtEnd is how often a dialed connection is read if a write to it has failed, and how often CatchUp reads an
-	// accepted one.
-	maxReadsAtEnd = 64
+	// maxCatchUpReads is how often CatchUp reads one connection at most.
+	maxCatchUpReads = 64
+
+	// maxReadsAtEnd is how often a dialed connection is read if a write to it has failed: a worker's answers to 32 calls,
+	// with bodies of 16 KiB, fit.
+	maxReadsAtEnd = 16
 )
 
 // readResult is the result of one read.
--- a/internal/eventloop/unseen.go
+++ b/internal/eventloop/unseen.go
@@ -84,17 +84,21 @@
 	return float64(c.progress.bytes) / open.Seconds()
 }
 
-// CatchUp reads what has arrived on an accepted connection, within the time of a turn. Beyond that time it still reads a
+// CatchUp reads what has arrived on an accepted connection, within the time of a turn. For as long again it still reads a
 // part of a connection of which no unread input is known, because that is little as a rule. CatchUp calls the connection's
 // handler, so no handler may call it.
 func (c *Conn) CatchUp() {
 	l := c.loop
-	if !c.readsInput() || c.progress.unread && l.catchUpTime >= catchUpBudget {
+	limit := catchUpBudget
+	if !c.progress.unread {
+		limit += catchUpBudget
+	}
+	if !c.readsInput() || l.catchUpTime >= limit {
 		return
 	}
 	began := l.clock.now()
 	c.readClient(began, l.polledAt, func() (drained bool) {
-		for range maxReadsAtEnd {
+		for range maxCatchUpReads {
 			result, n := c.readOnce(l.readBuffer[:clientReadSize])
 			if result != readData {
 				return result.drained()
--- a/internal/eventloop/unseen_test.go
+++ b/internal/eventloop/unseen_test.go
@@ -129,9 +129,17 @@
 	m.catchUpTime = catchUpBudget
 	m.peerSends("withdrawal", false)
 	m.conn.CatchUp()
-	if unseen := m.conn.UnseenFor(); h.received == size || unseen != 0 {
+	if unseen := m.conn.UnseenFor(); h.received != size+len("withdrawal") || unseen != 0 {
 		t.Errorf("beyond the limit %d bytes received, want more; unseen for %v, want 0", h.received, unseen)
 	}
+	m.sinceStart += 2 * recentPollAge
+	m.catchUpTime = 2 * catchUpBudget
+	m.peerSends("withdrawal", false)
+	m.conn.CatchUp()
+	if unseen := m.conn.UnseenFor(); h.received != size+len("withdrawal") || unseen != 2*recentPollAge {
+		t.Errorf("beyond twice the limit %d bytes received, want %d; unseen for %v, want %v",
+			h.received, size+len("withdrawal"), unseen, 2*recentPollAge)
+	}
 }
 
 // Guards against a poll that shows nothing: after a pause of the process, after signals that interrupt the poll, and if
