Charge a client only for its own input

Found with clients that send calls of a known class: of 920 usual calls beside 60 such clients, some came up to 1.2 s late, after their input had waited for 1.0 to 1.7 s (log lines in a copy).

Cause: the first part of a turn was charged with all that had become due before it, and a part with the pauses of the process and of the garbage collector. A usual client is read first, so that this was charged to it; the others then were read first until they had taken as much.

What is due is now done before the first part, at most 1 ms is charged for a part, and a connection without input gains 4 ms of credit.

The stand-ins' clients at full speed now wait while the router reads nothing, in place of coming back on a new connection, and give each call an id of its own. A soak that fails names the call.

--- a/cmd/functionrouter/flood_test.go
+++ b/cmd/functionrouter/flood_test.go
@@ -8,15 +8,14 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 )
 
 // fullSpeedClients runs clients that write frames without a pause and discard what they receive.
 type fullSpeedClients struct {
-	stopping atomic.Bool
-	running  sync.WaitGroup
+	stopped chan struct{}
+	running sync.WaitGroup
 }
 
 // startFullSpeedClients starts count clients. frames returns the bytes that a client writes next; it is called with a
@@ -25,29 +24,36 @@
 	t *testing.T, address string, count int, seed uint64, newFrames func(random *rand.Rand) func() []byte,
 ) *fullSpeedClients {
 	t.Helper()
-	f := &fullSpeedClients{}
+	f := &fullSpeedClients{stopped: make(chan struct{})}
 	for i := range count {
-		f.running.Add(1)
-		go func() {
-			defer f.running.Done()
+		f.running.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(5000+i))) // no other clients use this sequence
-			for !f.stopping.Load() {
+			for !f.isStopped() {
 				f.useConnection(address, newFrames(random))
 			}
-		}()
+		})
 	}
 	return f
 }
 
+func (f *fullSpeedClients) isStopped() bool {
+	select {
+	case <-f.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // useConnection writes on one connection until stop, or until the router closes it.
 func (f *fullSpeedClients) useConnection(address string, frames func() []byte) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return
 	}
-	discarded := make(chan struct{})
+	ended := make(chan struct{})
 	go func() {
-		defer close(discarded)
+		defer close(ended)
 		buffer := make([]byte, 64<<10)
 		for {
 			if _, err := conn.Read(buffer); err != nil {
@@ -55,19 +61,24 @@
 			}
 		}
 	}()
-	for !f.stopping.Load() {
-		_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) // so that the loop sees stopping
+	go func() {
+		select {
+		case <-f.stopped:
+		case <-ended:
+		}
+		_ = conn.Close() // ends a write that waits; much of what was written may be unread
+	}()
+	for {
 		if _, err := conn.Write(frames()); err != nil {
 			break
 		}
 	}
-	_ = conn.Close() // much of what was written may be unread
-	<-discarded
+	<-ended
 }
 
 // stop ends the clients, and returns once all their connections are closed.
 func (f *fullSpeedClients) stop() {
-	f.stopping.Store(true)
+	close(f.stopped)
 	f.running.Wait()
 }
 
@@ -81,27 +92,38 @@
 	return func() []byte { return batch }
 }
 
-// callFrames returns a function for fullSpeedClients that writes calls of a class with some hundred ids and functions.
-// The bytes are made once, so that the clients take little of the machine.
+// callFrames returns a function for fullSpeedClients that writes calls of a class, each with an id of its own, for some
+// hundred functions. Most of the bytes are made once, so that the clients take little of the machine.
 func callFrames(class string, wait time.Duration) func(random *rand.Rand) func() []byte {
 	return func(random *rand.Rand) func() []byte {
 		client := &testClient{}
 		var batch []byte
-		var sequencesAt []int
+		var sequencesAt, idsAt []int
 		for len(batch) < writeBytes {
 			id := fmt.Sprintf("%016x", random.Uint64())
 			frame := client.callFrame(class, id, "full speed", wait, "props", functionProperties)
-			copy(frame[strings.Index(string(frame), "7f3a9c21e0b4d655"):], id)
-			sequencesAt = append(sequencesAt, len(batch)+strings.Index(string(frame), "execute")+len("execute"))
+			text := string(frame)
+			copy(frame[strings.Index(text, "7f3a9c21e0b4d655"):], id)
+			sequencesAt = append(sequencesAt, len(batch)+strings.Index(text, "execute")+len("execute"))
+			idsAt = append(idsAt, len(batch)+strings.Index(text, id))
 			batch = append(batch, frame...)
 		}
 		sequence := uint32(0)
 		return func() []byte {
-			for _, at := range sequencesAt {
+			for i, at := range sequencesAt {
 				sequence++
 				binary.BigEndian.PutUint32(batch[at:], sequence)
+				putHex(batch[idsAt[i]:], random.Uint64())
 			}
 			return batch
 		}
 	}
 }
+
+// putHex writes a number as 16 hexadecimal digits.
+func putHex(b []byte, number uint64) {
+	const digits = "0123456789abcdef"
+	for i := range 16 {
+		b[i] = digits[number>>(4*(15-i))&15]
+	}
+}
--- a/cmd/functionrouter/timed_clients_test.go
+++ b/cmd/functionrouter/timed_clients_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -220,7 +221,7 @@
 type timedResult struct {
 	calls, served int
 	unanswered    []*timedCall
-	late          []time.Duration // of the answers that were not served, in ascending order
+	unserved      []*timedCall // answered with another status than served, in ascending order of late
 	faults        []string
 }
 
@@ -257,19 +258,19 @@
 		case call.status == "served":
 			result.served++
 		default:
-			result.late = append(result.late, call.late)
+			result.unserved = append(result.unserved, call)
 		}
 	}
-	slices.Sort(result.late)
+	slices.SortFunc(result.unserved, func(a, b *timedCall) int { return cmp.Compare(a.late, b.late) })
 	return result
 }
 
 func (r *timedResult) String() string {
-	if len(r.late) == 0 {
+	if len(r.unserved) == 0 {
 		return fmt.Sprintf("%d calls, %d served, %d unanswered", r.calls, r.served, len(r.unanswered))
 	}
 	return fmt.Sprintf("%d calls, %d served, %d unanswered; %d others were answered relative to the end of their wait: median %v, worst %v",
-		r.calls, r.served, len(r.unanswered), len(r.late), r.late[len(r.late)/2], r.late[len(r.late)-1])
+		r.calls, r.served, len(r.unanswered), len(r.unserved), r.unserved[len(r.unserved)/2].late, r.unserved[len(r.unserved)-1].late)
 }
 
 // expectAnswersInTime fails the test if a call has no answer or a late one.
@@ -283,8 +284,11 @@
 		t.Errorf("call %s has no answer; sent at %s with a wait of %v, resent: %v; %s",
 			call.id, call.sentAt.Format(time.TimeOnly+".000"), call.wait, call.resent, call.endOfConnection)
 	}
-	if len(r.late) > 0 && r.late[len(r.late)-1] > latestAnswer {
-		t.Errorf("the latest answer came %v after the end of its client's wait, want at most %v", r.late[len(r.late)-1], latestAnswer)
+	for _, call := range r.unserved {
+		if call.late > latestAnswer {
+			t.Errorf("call %s was answered %v after the end of its client's wait, want at most %v; sent at %s with a wait of %v, resent: %v; %s",
+				call.id, call.late, latestAnswer, call.sentAt.Format(time.TimeOnly+".000"), call.wait, call.resent, call.endOfConnection)
+		}
 	}
 }
 
--- a/internal/eventloop/input_schedule.go
+++ b/internal/eventloop/input_schedule.go
@@ -15,9 +15,19 @@
 // than inputBudget if little time suffices for all connections, and what others wait for in each turn comes sooner.
 const maxPartsPerTurn = 4
 
+const (
+	// maxPartCharge is the most time that is charged to a connection for one part of its input. What takes longer is not
+	// the part: the machine runs something else, or the garbage collector runs.
+	maxPartCharge = time.Millisecond
+
+	// maxInputCredit is how much less than the connection that is read now a connection without input counts as having
+	// taken. It lets a peer that sends little send more for a moment, and covers what was charged to it by mistake.
+	maxInputCredit = 4 * maxPartCharge
+)
+
 // inputSchedule orders the reads of the connections that have input, and divides the time for reads among them by
 // start-time fair queuing: it keeps for each connection how much time its input has taken (Conn.inputTag), and the
-// connection with the least is read next. A connection without input gains no credit. Peers that send little are thus
+// connection with the least is read next. A connection without input gains little credit. Peers that send little are thus
 // read at once beside any number of peers that send without a pause, and these share what is left.
 type inputSchedule struct {
 	ready   readyConnections
@@ -34,9 +44,8 @@
 // push adds a connection to the schedule.
 func (s *inputSchedule) push(c *Conn) {
 	s.lastSeq++
-	credit := max(s.virtual-c.inputTag, 0)
-	c.inputTag += credit
-	heap.Push(&s.ready, readyConnection{conn: c, tag: c.inputTag, credit: credit, seq: s.lastSeq})
+	c.inputTag = max(c.inputTag, s.virtual-maxInputCredit)
+	heap.Push(&s.ready, readyConnection{conn: c, tag: c.inputTag, seq: s.lastSeq})
 }
 
 // next removes the connection that is to be read next, or returns nil if there is none.
@@ -56,9 +65,13 @@
 }
 
 // readScheduled reads the connections of a schedule, a part of each at a time, until maxPartsPerTurn of each or nothing is
-// left, or until inputBudget is used up. It reads one part at least.
+// left, or until inputBudget is used up. It reads one part at least. What is due before the first part is done at first,
+// so that it is not charged to a connection.
 func (l *Loop) readScheduled(s *inputSchedule) {
-	began := l.clock.now()
+	if len(s.ready) == 0 {
+		return
+	}
+	began := l.afterInput()
 	for now := began; now-began < inputBudget; {
 		c := s.next()
 		if c == nil {
@@ -76,23 +89,30 @@
 // endPart calls Config.AfterInput for a part of the input of c, whose handling began at the given time, and charges the
 // time to c. It returns the present time.
 func (l *Loop) endPart(c *Conn, began time.Duration) (now time.Duration) {
+	now = l.afterInput()
+	c.chargeInput(now - began)
+	return now
+}
+
+// afterInput calls Config.AfterInput and returns the present time.
+func (l *Loop) afterInput() (now time.Duration) {
 	if l.cfg.AfterInput != nil {
 		l.cfg.AfterInput(l.clock.now())
 	}
-	now = l.clock.now()
-	c.inputTag += now - began
-	return now
+	return l.clock.now()
 }
 
+// chargeInput charges the time that a part of its input has taken to c.
+func (c *Conn) chargeInput(spent time.Duration) { c.inputTag += min(spent, maxPartCharge) }
+
 // readyConnection is a connection in an inputSchedule.
 type readyConnection struct {
-	conn   *Conn
-	tag    time.Duration // Conn.inputTag when the connection was added
-	credit time.Duration // by how much less time its input had taken; it only decides between equal tags
-	seq    uint64        // in the order in which connections were added
+	conn *Conn
+	tag  time.Duration // Conn.inputTag when the connection was added
+	seq  uint64        // connections with equal tags are read in the order in which they were added
 }
 
-// readyConnections implements heap.Interface, ordered by tag, credit and sequence number.
+// readyConnections implements heap.Interface, ordered by tag and then by sequence number.
 type readyConnections []readyConnection
 
 func (r readyConnections) Len() int { return len(r) }
@@ -101,9 +121,6 @@
 	if r[i].tag != r[j].tag {
 		return r[i].tag < r[j].tag
 	}
-	if r[i].credit != r[j].credit {
-		return r[i].credit > r[j].credit
-	}
 	return r[i].seq < r[j].seq
 }
 
--- a/internal/eventloop/input_schedule_test.go
+++ b/internal/eventloop/input_schedule_test.go
@@ -157,13 +157,32 @@
 	write(t, clients[0], make([]byte, 3*clientPartSize-1))
 	start := m.clock.now()
 	m.runNextTurn()
-	for i, at := range m.afterInput {
-		if want := start + time.Duration(i+1)*partDuration; at != want {
+	for i, at := range m.afterInput { // the first call is made before the first part
+		if want := start + time.Duration(i)*partDuration; at != want {
 			t.Errorf("call %d at %v, want %v", i, at, want)
 		}
 	}
-	if len(m.afterInput) != 3 {
-		t.Errorf("%d calls, want 3", len(m.afterInput))
+	if len(m.afterInput) != 4 {
+		t.Errorf("%d calls, want 4", len(m.afterInput))
+	}
+}
+
+// Guards against a usual client that is not read for a second because it was charged for work that is not its own: what was
+// due when the turn began, and pauses of the process while its input was handled.
+func TestClientIsChargedForItsOwnInputOnly(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	m, clients := newScheduleLoop(t, 1)
+	due := pause
+	m.cfg.AfterInput = func(time.Duration) {
+		m.sinceStart += due
+		due = 0
+	}
+	m.cost = func(int) time.Duration { return pause }
+	write(t, clients[0], []byte("r"))
+	before := m.handlers[0].conn.inputTag
+	m.runNextTurn()
+	if charged := m.handlers[0].conn.inputTag - before; charged != maxPartCharge {
+		t.Errorf("%v charged to the client, want %v", charged, maxPartCharge)
 	}
 }
 
