End attempts for which the pool has no connection as not sent

Beside 60 clients that send calls of a known class at full speed, 37,000 to 58,000 attempts of 44,000 to 76,000 ended as unreachable, because each of the 10 connections to a worker carried all that it may. That ejected the workers, and usual calls were refused as no_worker_available.

It is no fault of the worker: these attempts now end as not sent, like those for which this machine can't open a connection.

--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -10,23 +10,26 @@
 
 // StartAttempt queues an attempt of a request for a worker. The budget is the time that the attempt may take, the wait
 // for a dial and for SendAttempt included. No other attempt with the same ID may be open, and the request's class must be
-// an index of Config.Classes. The attempt ends as Unreachable if the worker is unknown or not ready, or if no connection
-// can carry the attempt. The caller may reuse the request after StartAttempt returns, but not its body: the pool keeps the
+// an index of Config.Classes. The attempt ends as Unreachable if the worker is unknown or not ready. If the limits of the
+// pool allow no connection to carry the attempt, it ends as NotSent, because that is no fault of the worker. The caller may reuse the request after StartAttempt returns, but not its body: the pool keeps the
 // slice without a copy.
 func (p *Pool) StartAttempt(workerID policy.WorkerID, attemptID router.AttemptID, request *router.Request,
 	budget time.Duration,
 ) {
 	w := p.workers[workerID]
-	if w != nil && w.isReady() {
-		call := newAttemptCall(attemptID, request, p.cfg.Classes[request.Class], p.now+budget)
-		if c := p.selectConnection(w, call); c != nil {
-			p.attempts[attemptID] = call
-			p.unsent = append(p.unsent, call)
-			c.send(call)
-			return
-		}
+	if w == nil || !w.isReady() {
+		p.results.AttemptEnded(attemptID, router.AttemptResult{Outcome: policy.Unreachable})
+		return
+	}
+	call := newAttemptCall(attemptID, request, p.cfg.Classes[request.Class], p.now+budget)
+	c := p.selectConnection(w, call)
+	if c == nil {
+		p.results.AttemptEnded(attemptID, router.AttemptResult{Outcome: policy.NotSent})
+		return
 	}
-	p.results.AttemptEnded(attemptID, router.AttemptResult{Outcome: policy.Unreachable})
+	p.attempts[attemptID] = call
+	p.unsent = append(p.unsent, call)
+	c.send(call)
 }
 
 // SendableAttempts appends the attempts that wait for SendAttempt on an open connection to ids, in the order of
