Refuse requests of clients with which reading has not caught up for 250 ms

An attempt of a client that sends without a pause does not begin, and is given up after 250 ms. Until then it took the place of others on the connections to workers. Such requests are now refused when they arrive, by MayAdmit of the policy, with the time that attempts may wait.

TestRequestsOfAClientThatIsNotCaughtUpWithAreRefused fails without the change.

--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -53,7 +53,7 @@
 		c.loop.workerInput.add(c)
 		return
 	}
-	c.progress.recordReported(c.loop.inputTime, c.loop.previousPoll)
+	c.progress.recordReported(c.loop.now, c.loop.inputTime, c.loop.previousPoll)
 	c.loop.clientInput.add(c)
 }
 
--- a/internal/eventloop/unseen.go
+++ b/internal/eventloop/unseen.go
@@ -23,6 +23,8 @@
 	bytes      int           // number of bytes read so far
 	seenUntil  time.Duration // all input that had arrived by this time has been read
 	unread     bool          // the last read has left input, or the poller has reported input that is not read yet
+	// unreadSince is when input was first found unread since all had been read; 0 if unread is false.
+	unreadSince time.Duration
 	// endReported means that the poller has reported the end of the input, or of the connection. It is set for dialed
 	// connections too.
 	endReported bool
@@ -31,13 +33,14 @@
 	arrivedSince time.Duration
 }
 
-// recordReported records that the poller has reported input, which may have arrived as early as inputTime. previousPoll
+// recordReported records that the poller has reported input at now, which may have arrived as early as inputTime. previousPoll
 // is when the poller last reported that there is none, unless the last read has left input.
-func (p *inputProgress) recordReported(inputTime, previousPoll time.Duration) {
+func (p *inputProgress) recordReported(now, inputTime, previousPoll time.Duration) {
 	if p.unread {
 		return
 	}
 	p.unread = true
+	p.unreadSince = now
 	p.seenUntil = max(p.seenUntil, previousPoll)
 	if p.arrivedSince == 0 {
 		p.arrivedSince = inputTime
@@ -51,7 +54,9 @@
 	case drained:
 		p.seenUntil = max(p.seenUntil, start)
 		p.arrivedSince = 0
+		p.unreadSince = 0
 	case !p.unread:
+		p.unreadSince = start
 		p.seenUntil = max(p.seenUntil, previousPoll)
 	}
 	p.unread = !drained
@@ -78,6 +83,16 @@
 	return age
 }
 
+// UnreadFor returns for how long the loop has not caught up with the client of an accepted connection: since then, input was
+// left each time that some was read. Unlike UnseenFor it leaves out the time before the poller has reported input, such as
+// a pause of the process.
+func (c *Conn) UnreadFor() time.Duration {
+	if !c.progress.unread {
+		return 0
+	}
+	return c.loop.clock.now() - c.progress.unreadSince
+}
+
 // InputRate returns how many bytes per second the client of an accepted connection has sent since it connected.
 func (c *Conn) InputRate() float64 {
 	open := c.loop.now - c.progress.acceptedAt + time.Second // a connection that has just been accepted has no rate yet
@@ -111,5 +126,5 @@
 	})
 	spent := l.clock.now() - began
 	l.catchUpTime += spent
-	c.inputTag += spent
+	c.chargeInput(spent)
 }
--- a/internal/frontend/webhook/client_input.go
+++ b/internal/frontend/webhook/client_input.go
@@ -46,16 +46,22 @@
 }
 
 // UnseenFor implements router.Input. One connection whose input has been read shows that somebody waits.
-func (d *delivery) UnseenFor() time.Duration {
+func (d *delivery) UnseenFor() time.Duration { return d.shortest(router.Input.UnseenFor) }
+
+// UnreadFor implements router.Input.
+func (d *delivery) UnreadFor() time.Duration { return d.shortest(router.Input.UnreadFor) }
+
+// shortest returns the shortest time that measure gives for an open connection, or 0 if there is none.
+func (d *delivery) shortest(measure func(router.Input) time.Duration) time.Duration {
 	inputs := d.openInputs()
 	if len(inputs) == 0 {
 		return 0
 	}
-	unseen := inputs[0].UnseenFor()
+	shortest := measure(inputs[0])
 	for _, input := range inputs[1:] {
-		unseen = min(unseen, input.UnseenFor())
+		shortest = min(shortest, measure(input))
 	}
-	return unseen
+	return shortest
 }
 
 // CatchUp implements router.Input.
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -8,11 +8,12 @@
 
 // Submit adds a request to the table and returns its id. The policy gets the request during Process.
 //
-// Submit returns 0 if it has answered the request itself: with Refused because of a limit or a shutdown, or with Failed
-// because a pending request has the same Request.ID.
+// Submit returns 0 if it has answered the request itself: with Refused because of a limit, a shutdown or a client that sends
+// without a pause, or with Failed because a pending request has the same Request.ID.
 func (r *Router) Submit(now time.Duration, req Request) policy.RequestID {
 	r.SetNow(now)
-	if r.admissionStopped || !r.withinLimits(&req) {
+	keepsUp := req.Input == nil || policy.MayAdmit(req.Input.UnreadFor())
+	if r.admissionStopped || !keepsUp || !r.withinLimits(&req) {
 		// A shutdown must complete even if clients keep sending, and the limits bound the memory use.
 		r.RefuseAtOnce(now, req)
 		return 0
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -86,6 +86,9 @@
 	return i.model.now - i.unreadSince
 }
 
+// UnreadFor returns 0: the model's clients do not send without a pause.
+func (i *modelInput) UnreadFor() time.Duration { return 0 }
+
 func (i *modelInput) InputRate() float64 { return float64(i.id) }
 
 func (i *modelInput) CatchUp() {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -13,6 +13,8 @@
 type Input interface {
 	// UnseenFor returns for how long input may have waited unread; 0 if there is no sign of unread input.
 	UnseenFor() time.Duration
+	// UnreadFor returns for how long reading has not caught up with what the client sends; 0 if it has.
+	UnreadFor() time.Duration
 	// CatchUp reads input that has arrived, as far as the limits of a turn allow. The frontend may submit and cancel
 	// requests meanwhile.
 	CatchUp()
--- a/internal/router/send_test.go
+++ b/internal/router/send_test.go
@@ -11,11 +11,13 @@
 // fakeInput is a client's connection with input that waits unread.
 type fakeInput struct {
 	unseenFor time.Duration
+	unreadFor time.Duration
 	rate      float64
 	onCatchUp func(*fakeInput)
 }
 
 func (i *fakeInput) UnseenFor() time.Duration { return i.unseenFor }
+func (i *fakeInput) UnreadFor() time.Duration { return i.unreadFor }
 func (i *fakeInput) InputRate() float64       { return i.rate }
 func (i *fakeInput) CatchUp()                 { i.onCatchUp(i) }
 
@@ -35,6 +37,24 @@
 	r.AttemptEnded(first, AttemptResult{Outcome: outcome})
 }
 
+// Guards against requests of clients that send without a pause, which take the place of others until their attempts are
+// given up: they are refused before the policy gets them.
+func TestRequestsOfAClientThatIsNotCaughtUpWithAreRefused(t *testing.T) {
+	r, _ := newTestRouter(t, 1)
+	addReadyWorkers(r, 1)
+	for unreadFor, wantAdmitted := range map[time.Duration]bool{0: true, 200 * ms: true, 300 * ms: false} {
+		responder := &recordingResponder{}
+		id := r.Submit(testStart, Request{
+			Responder: responder, Input: &fakeInput{unreadFor: unreadFor}, ID: unreadFor.String(), Function: 7,
+			Deadline: testStart + testClasses[idempotentClass].Deadline,
+		})
+		if admitted := id != 0; admitted != wantAdmitted || !admitted && responder.singleResponse(t).Status != Refused {
+			t.Errorf("input unread for %v: admitted: %v, want %v; answers %+v, want Refused if it was not",
+				unreadFor, admitted, wantAdmitted, responder.responses)
+		}
+	}
+}
+
 // Guards against attempts that begin long after their request was withdrawn: input that withdraws it has arrived, and
 // waits unread behind other input while the router acts on the request, on the end of an earlier attempt or on a load.
 func TestNoAttemptBeginsBehindUnreadInput(t *testing.T) {
--- a/policy/client_input.go
+++ b/policy/client_input.go
@@ -12,6 +12,11 @@
 // the attempt waiting until the request's deadline, and the worker would seem busy to other requests.
 const maxInputWait = 250 * time.Millisecond
 
+// MayAdmit reports whether a request may be admitted if reading has not caught up with its client for
+// unreadFor. No attempt of a client that sends without a pause would begin, but while its requests waited for
+// that, they would take the place of others.
+func MayAdmit(unreadFor time.Duration) bool { return unreadFor <= maxInputWait }
+
 // MayBegin reports whether an attempt may begin if input of its client may have waited unread for unseenFor.
 func MayBegin(unseenFor time.Duration) bool { return unseenFor <= maxUnseenInput }
 
