Let attempts that wait for their client's input wait before a connection is chosen

Beside 60 and 70 clients that send calls of a known class at full speed, half of the usual calls were refused: attempts of these clients waited for up to 250 ms for their clients' input, and each took the place of one of the 32 attempts on a connection meanwhile, so that others were not sent.

Such an attempt now waits in the router; the pool gets it once it may begin. One that is given up or cancelled before that ends as not sent.

The rates by which attempts are sorted are read once for each attempt.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -11,6 +11,9 @@
 	worker policy.WorkerID
 	sentAt time.Duration
 	heldAt time.Duration // when the attempt first waited for the client's input; 0 if it has not
+	endsBy time.Duration // when its budget ends
+	// inPool means that the worker pool has got the attempt. Before that it waits in Router.held.
+	inPool bool
 	ended  bool
 }
 
@@ -41,8 +44,26 @@
 	if action.SendWithin > 0 && action.SendWithin < budget {
 		r.timers.schedule(r.now+action.SendWithin, timer{kind: unsentTimeout, attempt: id})
 	}
+	p.attempts[id.Number].endsBy = r.now + budget
+	if p.Input != nil && !policy.MayBegin(p.Input.UnseenFor()) {
+		p.attempts[id.Number].heldAt = r.now
+		r.held = append(r.held, id)
+		return
+	}
+	r.passToPool(id, p)
+}
+
+// passToPool gives an open attempt to the worker pool, unless its budget has ended.
+func (r *Router) passToPool(id AttemptID, p *pendingRequest) {
+	a := &p.attempts[id.Number]
+	budget := min(a.endsBy, p.Deadline) - r.now
+	if budget <= 0 {
+		r.AttemptEnded(id, AttemptResult{Outcome: policy.NotSent})
+		return
+	}
+	a.inPool = true
 	r.Counters.AttemptsSent++
-	r.workers.StartAttempt(action.Worker, id, &p.Request, budget)
+	r.workers.StartAttempt(a.worker, id, &p.Request, budget)
 }
 
 // findOpenAttempt returns the attempt and its request, or nil for both if the attempt is unknown or has ended.
@@ -55,12 +76,18 @@
 }
 
 // cancelAttempt ends an open attempt with the given outcome without waiting for the worker, which may still run the
-// request.
+// request. An attempt that the pool has not got never ran.
 func (r *Router) cancelAttempt(id AttemptID, outcome policy.Outcome) {
-	if _, a := r.findOpenAttempt(id); a != nil {
+	_, a := r.findOpenAttempt(id)
+	switch {
+	case a == nil:
+		return
+	case a.inPool:
 		r.workers.CancelAttempt(a.worker, id)
-		r.AttemptEnded(id, AttemptResult{Outcome: outcome})
+	default:
+		outcome = policy.NotSent
 	}
+	r.AttemptEnded(id, AttemptResult{Outcome: outcome})
 }
 
 // cancelUnsentAttempts ends the open attempts of a closed request if no byte of them has been sent to a worker.
@@ -74,7 +101,9 @@
 
 // cancelUnsentAttempt ends an attempt if no byte of it has been sent to a worker.
 func (r *Router) cancelUnsentAttempt(id AttemptID) {
-	if r.workers.CancelUnsent(id) {
+	_, a := r.findOpenAttempt(id)
+	isHeld := a != nil && !a.inPool
+	if isHeld || r.workers.CancelUnsent(id) {
 		r.AttemptEnded(id, AttemptResult{Outcome: policy.NotSent})
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,7 @@
 	runs     runHistory
 	controls controlTable
 	sendable []AttemptID // see sendAttempts; the slice is reused
+	held     []AttemptID // attempts that wait for their clients' input before the worker pool gets them
 	// noResultLog logs requests that ended without a result.
 	noResultLog noResultLog
 	// lateAnswerLog logs answers that come after their clients have stopped waiting.
@@ -127,7 +128,7 @@
 	for round := 0; ; round++ {
 		r.decide()
 		if round == maxSendRounds {
-			held = len(r.workers.SendableAttempts(r.sendable[:0])) > 0 // they wait for the next turn
+			held = len(r.held) > 0 || len(r.workers.SendableAttempts(r.sendable[:0])) > 0 // they wait for the next turn
 			break
 		}
 		held = r.sendAttempts()
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -26,13 +26,15 @@
 // Clients that keep sending must not make a turn last.
 const maxSendRounds = 3
 
-// sendAttempts sends the attempts that the worker pool can write now, and is the only place where an attempt begins.
-// An attempt begins only if the input of its client has been read, as policy.MayBegin says. Otherwise sendAttempts first
-// reads on, which may withdraw requests and queue events. It reports whether attempts are left that wait for that; one
-// that has waited for too long ends as NotSent, so that the request is answered.
+// sendAttempts passes the held attempts that may begin to the worker pool, sends those that the pool can write now, and is
+// the only place where an attempt begins. An attempt begins only if the input of its client has been read, as
+// policy.MayBegin says. Otherwise sendAttempts first reads on, which may withdraw requests and queue events. It reports
+// whether attempts are left that wait for that; one that has waited for too long ends as NotSent, so that the request is
+// answered.
 func (r *Router) sendAttempts() (held bool) {
+	held = r.passHeldAttempts()
 	r.sendable = r.workers.SendableAttempts(r.sendable[:0])
-	r.sortByInputRate()
+	r.sortByInputRate(r.sendable)
 	for _, id := range r.sendable {
 		switch input, open := r.inputOf(id); {
 		case !open: // withdrawn by what has been read
@@ -45,6 +47,26 @@
 	return held
 }
 
+// passHeldAttempts gives the worker pool the held attempts that may begin now. The others do not take the place of other
+// attempts on a connection meanwhile. It reports whether attempts are left that wait.
+func (r *Router) passHeldAttempts() (held bool) {
+	waiting := r.held
+	r.held = nil // hasBeenSeen may read input, but no attempt starts meanwhile
+	r.sortByInputRate(waiting)
+	for _, id := range waiting {
+		input, open := r.inputOf(id)
+		switch {
+		case !open: // withdrawn or ended
+		case input == nil || r.hasBeenSeen(id, input):
+			r.passToPool(id, r.requests.byID[id.Request])
+		case r.hold(id):
+			r.held = append(r.held, id)
+			held = true
+		}
+	}
+	return held
+}
+
 // hold lets an attempt wait until the input of its client has been read, or ends it if it has waited for too long. It
 // reports whether the attempt waits.
 func (r *Router) hold(id AttemptID) bool {
@@ -79,21 +101,30 @@
 	return p.Input, true
 }
 
-// sortByInputRate sorts the sendable attempts by how much their clients send, if any of these has unread input. Clients
-// that send least come first, because the limits of a turn do not suffice for many clients that send at full speed.
-func (r *Router) sortByInputRate() {
-	hasUnseen := slices.ContainsFunc(r.sendable, func(id AttemptID) bool {
-		input, _ := r.inputOf(id)
-		return input != nil && input.UnseenFor() > 0
-	})
+// ratedAttempt is an attempt and how much its client sends.
+type ratedAttempt struct {
+	id   AttemptID
+	rate float64 // in bytes per second; 0 if the request does not depend on a connection
+}
+
+// sortByInputRate sorts attempts by how much their clients send, if any of these has unread input. Clients that send least
+// come first, because the limits of a turn do not suffice for many clients that send at full speed.
+func (r *Router) sortByInputRate(attempts []AttemptID) {
+	rated := make([]ratedAttempt, 0, len(attempts))
+	hasUnseen := false
+	for _, id := range attempts {
+		attempt := ratedAttempt{id: id}
+		if input, _ := r.inputOf(id); input != nil {
+			attempt.rate = input.InputRate()
+			hasUnseen = hasUnseen || input.UnseenFor() > 0
+		}
+		rated = append(rated, attempt)
+	}
 	if !hasUnseen {
 		return
 	}
-	rate := func(id AttemptID) float64 {
-		if input, _ := r.inputOf(id); input != nil {
-			return input.InputRate()
-		}
-		return 0
+	slices.SortStableFunc(rated, func(a, b ratedAttempt) int { return cmp.Compare(a.rate, b.rate) })
+	for i := range rated {
+		attempts[i] = rated[i].id
 	}
-	slices.SortStableFunc(r.sendable, func(a, b AttemptID) int { return cmp.Compare(rate(a), rate(b)) })
 }
