--- a/internal/eventloop/input_schedule_test.go
+++ b/internal/eventloop/input_schedule_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // partDuration is how long a busyHandler takes for each piece of data.
@@ -204,6 +206,29 @@
 	}
 }
 
+// Guards against turns that are long because writes to many clients have failed at once: closing their connections ends
+// their requests.
+func TestClosingFailedClientsIsLimitedInTime(t *testing.T) {
+	const count = 3 * int(inputBudget/partDuration)
+	m, clients := newScheduleLoop(t, count)
+	for i, h := range m.handlers {
+		write(t, clients[i], []byte("r"))
+		h.conn.failWrite(unix.EPIPE)
+	}
+	for turn := 0; len(m.accepted) > 0; turn++ {
+		before := len(m.accepted)
+		if took := m.runNextTurn(); took > inputBudget {
+			t.Errorf("turn %d took %v, want at most %v", turn, took, inputBudget)
+		}
+		if len(m.accepted) == before {
+			t.Fatalf("turn %d closed none of %d connections", turn, before)
+		}
+		if len(m.accepted) > 0 && m.timeUntil(m.clock.now()+time.Hour) != 0 {
+			t.Error("the next turn does not begin at once")
+		}
+	}
+}
+
 // Guards against turns that are long because many new connections have sent much.
 func TestAcceptingIsLimitedInTime(t *testing.T) {
 	const count = 20
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -65,6 +65,7 @@
 	stopped         bool
 	deferred        []func()         // calls for the next turn
 	runningDeferred []func()         // deferred calls of this turn; the arrays of both slices are reused
+	failedClients   []*Conn          // accepted connections to which a write has failed; see closeFailedClients
 	unflushed       []*Conn          // connections with pending writes or to be closed after their last write
 	totalUnread     int              // bytes that all peers have yet to take; updated by Conn.setUnsent
 	readBuffer      []byte           // shared by all sockets
@@ -205,17 +206,18 @@
 func (l *Loop) InputTime() time.Duration { return l.inputTime }
 
 // timeUntil returns how long the poller may wait for a turn that is due at next. It returns 0 if calls are deferred to
-// that turn.
+// that turn or connections are left to be closed.
 func (l *Loop) timeUntil(next time.Duration) time.Duration {
-	if len(l.deferred) > 0 {
+	if len(l.deferred) > 0 || len(l.failedClients) > 0 {
 		return 0
 	}
 	return max(next-l.clock.now(), 0)
 }
 
-// runDeferred makes the calls that were deferred to this turn. Calls that are deferred meanwhile wait for the next
+// runDeferred closes the clients' connections that have failed, and makes the calls that were deferred to this turn. Calls that are deferred meanwhile wait for the next
 // turn: the two slices are swapped to reuse their arrays.
 func (l *Loop) runDeferred() {
+	l.closeFailedClients()
 	spare := l.runningDeferred[:0]
 	l.runningDeferred = l.deferred
 	l.deferred = spare
--- a/internal/eventloop/manual_loop_test.go
+++ b/internal/eventloop/manual_loop_test.go
@@ -109,7 +109,7 @@
 // runTurnsUntilIdle runs turns until no calls are deferred.
 func (m *manualLoop) runTurnsUntilIdle() {
 	m.runTurn()
-	for len(m.deferred) > 0 {
+	for len(m.deferred)+len(m.failedClients) > 0 {
 		m.runTurn()
 	}
 }
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -172,7 +172,22 @@
 	}
 	c.writeError = err
 	c.setUnsent(nil)
-	c.loop.deferCall(c.closeAfterWriteError)
+	if c.isAccepted {
+		c.loop.failedClients = append(c.loop.failedClients, c)
+	} else {
+		c.loop.deferCall(c.closeAfterWriteError)
+	}
+}
+
+// closeFailedClients closes the accepted connections to which a write has failed, for inputBudget in one turn: their
+// handlers end the open requests, which may be many.
+func (l *Loop) closeFailedClients() {
+	began := l.clock.now()
+	for now := began; len(l.failedClients) > 0 && now-began < inputBudget; now = l.afterInput() {
+		c := l.failedClients[0]
+		l.failedClients = l.failedClients[1:]
+		c.closeAfterWriteError()
+	}
 }
 
 // closeAfterWriteError closes a connection whose peer of a failed write may have sent data. It reads what a worker has
