--- a/policy/events.go
+++ b/policy/events.go
@@ -61,8 +61,8 @@
 	Endpoints []Endpoint
 }
 
-// EarlierRun tells that the client's id of a request is that of an earlier request that has ended and may have
-// run. The request is then a repeat of the earlier one.
+// EarlierRun tells that the client's id of a request is that of an earlier request that has ended and may
+// have run. The request is then a repeat of the earlier one.
 type EarlierRun struct {
 	Worker WorkerID      // the worker of the first attempt that may have run
 	SentAt time.Duration // when that attempt was sent
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -148,9 +148,9 @@
 	p.continuePlacing()
 }
 
-// continuePlacing tries to place a part of the requests that are left of placeWaiting, and sets a timer if some
-// remain: the router does nothing else meanwhile. A request that still finds no worker continues to wait if
-// there is enough time; otherwise it is refused.
+// continuePlacing tries to place a part of the requests that are left of placeWaiting, and sets a timer if
+// some remain, because the router does nothing else meanwhile. A request that still finds no worker continues
+// to wait if there is enough time; otherwise it is refused.
 func (p *Policy) continuePlacing() {
 	count := min(max(maxCandidatesAtOnce/max(len(p.fleet), 1), 1), p.placementsLeft)
 	p.placementsLeft -= count
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -81,8 +81,8 @@
 	r.function.recentRequests++ // after placing r, because the placement of r must not count r itself
 }
 
-// resume makes r, which has just arrived, a repeat of an earlier request with the same id. It ends r and returns
-// false if the class does not allow a repeat now.
+// resume makes r, which has just arrived, a repeat of an earlier request with the same id. It ends r and
+// returns false if the class does not allow a repeat now.
 func (p *Policy) resume(r *request, run *EarlierRun) (mayBeRepeated bool) {
 	w := p.workers[run.Worker]
 	if w == nil { // shares no zone and no cell with any worker
