Reuse the id of a call that may run twice in the test of duplicate responses

TestDuplicateResponseIsDropped sent an unsafe call again under the id of one that had been served, and wanted it to run: the operators' rules forbid that (a further send of an unsafe request is permitted only if no earlier attempt may have run), and since ended runs are remembered it fails.

The late response to the first of two requests with one id must still not end the second; the class of both is safe now. That an unsafe one does not run again is checked by TestUnsafeCallRunsOnceIfItsIDReturns.

--- a/cmd/functionrouter/connections_test.go
+++ b/cmd/functionrouter/connections_test.go
@@ -58,11 +58,15 @@
 	firstRequest.respond("HIT", "third")
 	secondRequest.respond("HIT", "second request")
 	expectServedWith("second request")
-	// A client may reuse the ID of a request that has ended. A late response to the first request must not end the
-	// second.
-	c.sendCall("unsafe", "00000000000000a1", "again")
+	// A client may reuse the ID of a request that has ended, if the request may run twice. A late response to the first
+	// request must not end the second.
+	c.sendCall("safe", "00000000000000a3", "three")
+	thirdRequest := worker.nextRequest()
+	thirdRequest.respond("HIT", "third request")
+	expectServedWith("third request")
+	c.sendCall("safe", "00000000000000a3", "again")
 	reusedIDRequest := worker.nextRequest()
-	firstRequest.respond("HIT", "fourth")
+	thirdRequest.respond("HIT", "fourth")
 	c.checkHealth() // an answer to the client would arrive before those to the health checks
 	reusedIDRequest.respond("HIT", "reused ID")
 	expectServedWith("reused ID")
