Let the clients at full speed of the tests fill little of the kernel's buffers

Until the buffers of their connections are full, megabytes of each, these clients write without waiting, and the clients that measure times share their process. With a send buffer of 64 KB they soon wait for the router, which still sets their pace. The bound is the same.

--- a/cmd/functionrouter/flood_test.go
+++ b/cmd/functionrouter/flood_test.go
@@ -47,10 +47,14 @@
 
 // useConnection writes on one connection until stop, or until the router closes it.
 func (f *fullSpeedClients) useConnection(address string, frames func() []byte) {
+	const sendBuffer = 64 << 10
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return
 	}
+	// The client soon waits for the router. Otherwise all clients fill megabytes of buffers as they begin, and the other
+	// clients of the test process, which measure times, do not run meanwhile.
+	_ = conn.(*net.TCPConn).SetWriteBuffer(sendBuffer)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
