Write once what the tests of bad clients wrote several times, and correct comments

Found by reading the whole change again: three tests had the same check of a closed channel, and three the same loop that discards input, in place of io.Copy. Behaviour and assertions are unchanged.

--- a/cmd/functionrouter/flood_test.go
+++ b/cmd/functionrouter/flood_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -28,7 +29,7 @@
 	for i := range count {
 		f.running.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(5000+i))) // no other clients use this sequence
-			for !f.isStopped() {
+			for !isClosed(f.stopped) {
 				f.useConnection(address, newFrames(random))
 			}
 		})
@@ -36,15 +37,6 @@
 	return f
 }
 
-func (f *fullSpeedClients) isStopped() bool {
-	select {
-	case <-f.stopped:
-		return true
-	default:
-		return false
-	}
-}
-
 // useConnection writes on one connection until stop, or until the router closes it.
 func (f *fullSpeedClients) useConnection(address string, frames func() []byte) {
 	const sendBuffer = 64 << 10
@@ -58,12 +50,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		buffer := make([]byte, 64<<10)
-		for {
-			if _, err := conn.Read(buffer); err != nil {
-				return
-			}
-		}
+		_, _ = io.Copy(io.Discard, conn) // returns when the connection has ended
 	}()
 	go func() {
 		select {
--- a/cmd/functionrouter/memory_test.go
+++ b/cmd/functionrouter/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -55,7 +56,7 @@
 		p.running.Add(1)
 		go func() {
 			defer p.running.Done()
-			for !p.isStopped() {
+			for !isClosed(p.stopped) {
 				conn, err := net.Dial("tcp", address)
 				if err != nil {
 					time.Sleep(time.Millisecond)
@@ -69,15 +70,6 @@
 	return p
 }
 
-func (p *peers) isStopped() bool {
-	select {
-	case <-p.stopped:
-		return true
-	default:
-		return false
-	}
-}
-
 // stop ends the peers.
 func (p *peers) stop() {
 	close(p.stopped)
@@ -93,12 +85,7 @@
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			buffer := make([]byte, 512)
-			for {
-				if _, err := conn.Read(buffer); err != nil {
-					return
-				}
-			}
+			_, _ = io.Copy(io.Discard, conn) // returns when the connection has ended
 		}()
 		select {
 		case <-ended:
@@ -113,19 +100,9 @@
 func repeat(b []byte, pause time.Duration) func(net.Conn, chan struct{}) {
 	return func(conn net.Conn, stopped chan struct{}) {
 		go func() {
-			buffer := make([]byte, 64<<10)
-			for {
-				if _, err := conn.Read(buffer); err != nil {
-					return
-				}
-			}
+			_, _ = io.Copy(io.Discard, conn) // returns when the connection has ended
 		}()
-		for {
-			select {
-			case <-stopped:
-				return
-			default:
-			}
+		for !isClosed(stopped) {
 			_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
 			if _, err := conn.Write(b); err != nil {
 				return
@@ -300,12 +277,7 @@
 			packet := make([]byte, 8000)
 			copy(packet, query.packet)
 			packet[2] |= dnsResponseFlag
-			for {
-				select {
-				case <-stopped:
-					return
-				default:
-				}
+			for !isClosed(stopped) {
 				for i := dnsAnswerCount; i < 1000; i++ {
 					packet[i] = byte(random.Uint32())
 				}
--- a/cmd/functionrouter/soak_test.go
+++ b/cmd/functionrouter/soak_test.go
@@ -168,13 +168,8 @@
 	for i := range 2 {
 		random := rand.New(rand.NewPCG(seed, uint64(9100+i))) // no other clients use these sequences
 		r.running.Go(func() {
-			for {
-				select {
-				case <-r.stopped:
-					return
-				default:
-					sendAndReturn(address, random)
-				}
+			for !isClosed(r.stopped) {
+				sendAndReturn(address, random)
 			}
 		})
 	}
--- a/cmd/functionrouter/timed_clients_test.go
+++ b/cmd/functionrouter/timed_clients_test.go
@@ -184,9 +184,10 @@
 	}
 }
 
-func (c *timedClients) isStopped() bool {
+// isClosed reports whether a channel on which nothing is sent is closed.
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-c.stopped:
+	case <-c:
 		return true
 	default:
 		return false
@@ -197,7 +198,7 @@
 func (c *timedClients) recordFault(fault string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ending && !c.isStopped() {
+	if !c.ending && !isClosed(c.stopped) {
 		c.faults = append(c.faults, fault)
 	}
 }
--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -11,8 +11,8 @@
 // StartAttempt queues an attempt of a request for a worker. The budget is the time that the attempt may take, the wait
 // for a dial and for SendAttempt included. No other attempt with the same ID may be open, and the request's class must be
 // an index of Config.Classes. The attempt ends as Unreachable if the worker is unknown or not ready. If the limits of the
-// pool allow no connection to carry the attempt, it ends as NotSent, because that is no fault of the worker. The caller may reuse the request after StartAttempt returns, but not its body: the pool keeps the
-// slice without a copy.
+// pool allow no connection to carry the attempt, it ends as NotSent, because that is no fault of the worker. The caller
+// may reuse the request after StartAttempt returns, but not its body: the pool keeps the slice without a copy.
 func (p *Pool) StartAttempt(workerID policy.WorkerID, attemptID router.AttemptID, request *router.Request,
 	budget time.Duration,
 ) {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -214,8 +214,8 @@
 	return max(next-l.clock.now(), 0)
 }
 
-// runDeferred closes the clients' connections that have failed, and makes the calls that were deferred to this turn. Calls that are deferred meanwhile wait for the next
-// turn: the two slices are swapped to reuse their arrays.
+// runDeferred closes the clients' connections that have failed, and makes the calls that were deferred to this turn.
+// Calls that are deferred meanwhile wait for the next turn: the two slices are swapped to reuse their arrays.
 func (l *Loop) runDeferred() {
 	l.closeFailedClients()
 	spare := l.runningDeferred[:0]
--- a/internal/eventloop/turn_times.go
+++ b/internal/eventloop/turn_times.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// longTurnThreshold is how long a turn takes at least that is logged. Timers that are due during a turn wait until
-	// it ends, so that a turn of this length delays answers by as much.
+	// longTurnThreshold is how long a turn takes at least that is logged. Input that arrives during a turn waits until it
+	// ends, and answers are written at its end, so that a turn of this length delays them by as much.
 	longTurnThreshold = 25 * time.Millisecond
 
 	// turnLogInterval is the minimum time between two log lines about long turns.
